Begin the project: build, checks, base library and the contracts of the other libraries

The verdict, error codes, request ids and the messages of the inner protocol come first, so that the parts can be written side by side against them. base_test passes; the other libraries hold headers only so far.

--- /dev/null
+++ b/cmake/MagnoliaLibrary.cmake
@@ -0,0 +1,32 @@
+# magnolia_library(NAME SOURCES ... LINKS ... [PRIVATE_LINKS ...])
+# Declares libs/NAME with its public headers in include/NAME.
+function(magnolia_library name)
+    cmake_parse_arguments(ARG "" "" "HEADERS;SOURCES;LINKS;PRIVATE_LINKS" ${ARGN})
+    add_library(magnolia_${name} STATIC ${ARG_HEADERS} ${ARG_SOURCES})
+    add_library(magnolia::${name} ALIAS magnolia_${name})
+    target_include_directories(magnolia_${name} PUBLIC include PRIVATE src)
+    target_link_libraries(magnolia_${name} PUBLIC ${ARG_LINKS} PRIVATE ${ARG_PRIVATE_LINKS})
+endfunction()
+
+# magnolia_test(NAME SOURCES ... LINKS ...)
+# Declares one Boost.Test program and registers it with CTest.
+function(magnolia_test name)
+    cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;LINKS" ${ARGN})
+    if(NOT ARG_TIMEOUT)
+        set(ARG_TIMEOUT 60)
+    endif()
+    add_executable(${name} ${CMAKE_SOURCE_DIR}/cmake/testmain.cpp ${ARG_SOURCES})
+    target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
+    target_link_libraries(${name} PRIVATE ${ARG_LINKS} Boost::unit_test_framework)
+    add_test(NAME ${name} COMMAND ${name})
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+endfunction()
+
+# magnolia_benchmark(NAME SOURCES ... LINKS ...)
+# Declares one measuring program; it is built with everything else, but run by scripts/bench.sh only.
+function(magnolia_benchmark name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_link_libraries(${name} PRIVATE ${ARG_LINKS})
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/benchmarks)
+endfunction()
--- /dev/null
+++ b/libs/platform/include/platform/instancelist.h
@@ -0,0 +1,36 @@
+#ifndef MAGNOLIA_PLATFORM_INSTANCELIST_H
+#define MAGNOLIA_PLATFORM_INSTANCELIST_H
+
+#include "base/failure.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace magnolia::platform
+{
+
+/**
+ * An instance as the platform's list shows it; the list lags by up to half a minute, so this is discovery, not liveness.
+ */
+struct Instance {
+    std::string name;
+    std::string role; ///< "entry" or "agent"
+    std::string endpoint; ///< The manifest's name of the endpoint that the agent stands beside; empty for an entry.
+    std::string address; ///< "IP:PORT" where it accepts links.
+    std::string dataCentre;
+    bool leaving = false;
+};
+
+using InstancesCallback = std::function<void(Result<std::vector<Instance>>)>;
+
+/** The platform's list of live and leaving instances. */
+template<typename T>
+concept InstanceList = requires(T &list, InstancesCallback onInstances)
+{
+    list.fetch(onInstances);
+};
+
+} // namespace magnolia::platform
+
+#endif
--- /dev/null
+++ b/libs/platform/include/platform/tablestore.h
@@ -0,0 +1,60 @@
+#ifndef MAGNOLIA_PLATFORM_TABLESTORE_H
+#define MAGNOLIA_PLATFORM_TABLESTORE_H
+
+#include "base/failure.h"
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace magnolia::platform
+{
+
+/** A row of the platform's table. Each write gives it a higher revision. */
+struct Row {
+    std::string value;
+    std::uint64_t revision = 0;
+};
+
+/** The outcome of a conditional write whose reply arrived. */
+struct WriteOutcome {
+    bool applied = false; ///< False: the condition did not hold; current is what stands there.
+    std::optional<Row> current;
+};
+
+using ReadCallback = std::function<void(Result<std::optional<Row>>)>;
+using WriteCallback = std::function<void(Result<WriteOutcome>)>;
+using RowsCallback = std::function<void(Result<std::map<std::string, Row>>)>;
+
+/**
+ * A transactional table. Calls are asynchronous and call back exactly once, on the loop's thread, never from within the
+ * call. A failed write carries MayHaveRun if its reply was lost: it may have taken effect, or may still.
+ */
+template<typename T>
+concept TableStore =
+    requires(T &store, const std::string &key, std::string value, std::uint64_t revision, ReadCallback onRead, WriteCallback onWrite, RowsCallback onRows)
+{
+    store.read(key, onRead);
+    store.insert(key, value, onWrite); ///< If absent.
+    store.replace(key, revision, value, onWrite); ///< If still at this revision.
+    store.remove(key, revision, onWrite); ///< If still at this revision.
+    store.list(key, onRows); ///< All rows whose key begins so.
+};
+
+using PutCallback = std::function<void(Result<void>)>;
+using GetCallback = std::function<void(Result<std::optional<std::string>>)>;
+
+/** An object store; objects are never changed once written, as their names are content hashes. */
+template<typename T>
+concept ObjectStore = requires(T &store, const std::string &name, std::string data, PutCallback onPut, GetCallback onGet)
+{
+    store.put(name, data, onPut);
+    store.get(name, onGet);
+};
+
+} // namespace magnolia::platform
+
+#endif
