--- /dev/null
+++ b/libs/settings/include/settings/sections.h
@@ -0,0 +1,89 @@
+#ifndef MAGNOLIA_SETTINGS_SECTIONS_H
+#define MAGNOLIA_SETTINGS_SECTIONS_H
+
+#include "base/clock.h"
+#include "observe/log.h"
+#include "observe/secret.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+/** The sections that settings files are made of. docs/CONFIGURATION.md gives each key's unit, range and default. */
+namespace magnolia::settings
+{
+
+/** [instance]: who this process is. */
+struct InstanceSettings {
+    std::string name;
+    std::string dataCentre;
+};
+
+/** [callers]: the entry's side towards callers. */
+struct CallersSettings {
+    std::string address; ///< "IP:PORT"; port 0 picks a free one.
+    std::size_t maxBodyBytes = 4U << 20U;
+    std::size_t maxHeaderBytes = 16U << 10U;
+    std::size_t maxConnections = 4096;
+    Duration defaultTimeout{60000}; ///< Deadline of a request that states none.
+};
+
+/** [operators] of a daemon: where operators and metrics scrapers reach it. */
+struct OperatorsSettings {
+    std::string address; ///< "IP:PORT"; port 0 picks a free one.
+    observe::Secret key; ///< Bearer key for POST /drain.
+};
+
+/** One of [links] keys. */
+struct LinkKeySettings {
+    std::string id;
+    observe::Secret secret;
+};
+
+/** [links]: the connections between our own processes. */
+struct LinksSettings {
+    std::string address; ///< Where an agent accepts links, "IP:PORT"; empty for an entry.
+    std::vector<LinkKeySettings> keys; ///< At least one; the first proves, any is accepted.
+    Duration heartbeatInterval{500};
+    Duration silenceTimeout{2000};
+    Duration handshakeTimeout{2000};
+    std::size_t maxFrameBytes = 16U << 20U;
+};
+
+/** [platform]: the platform's services. */
+struct PlatformSettings {
+    std::string table; ///< "IP:PORT"
+    std::string objects; ///< "IP:PORT"
+    std::string instances; ///< "IP:PORT"
+    Duration pollInterval{10000}; ///< Mean time between reads of the manifest's head and of the list.
+};
+
+/** [traces] */
+struct TracesSettings {
+    std::string file; ///< OTLP JSON lines go here; empty: none.
+    double samplingRatio = 1; ///< Share of new traces, 0 to 1.
+};
+
+/** [stop]: how a daemon ends after SIGTERM or /drain. */
+struct StopSettings {
+    Duration lag{3000}; ///< Listeners stay open for so long after "not ready", for the balancer.
+    Duration warnAfter{60000}; ///< Work that is still in progress after this is named in the log; it is not cut off.
+};
+
+/** [endpoint]: the engine or plain service that an agent stands beside. */
+struct EndpointSettings {
+    std::string name; ///< The manifest's name of it.
+    std::string address; ///< "IP:PORT"
+    Duration silenceTimeout{3000}; ///< A stream with nothing for so long is checked over a fresh connection.
+};
+
+/** [operators] of magnoliactl: the daemons that it asks. */
+struct DaemonsSettings {
+    std::vector<std::string> addresses; ///< Operators' addresses of the daemons, "IP:PORT" each.
+    observe::Secret key; ///< Bearer key for POST /drain.
+    Duration timeout{2000}; ///< For one call to one daemon.
+};
+
+} // namespace magnolia::settings
+
+#endif
