--- /dev/null
+++ b/libs/manifest/include/manifest/assembly.h
@@ -0,0 +1,62 @@
+#ifndef MAGNOLIA_MANIFEST_ASSEMBLY_H
+#define MAGNOLIA_MANIFEST_ASSEMBLY_H
+
+#include "base/failure.h"
+#include "manifest/digest.h"
+#include "manifest/manifestindex.h"
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace magnolia::manifest
+{
+
+/**
+ * Puts one version of the manifest together from chunks that come in any order.
+ *
+ * Takes what it can from an earlier version. Each chunk is checked against its hash and its shape as it comes and decoded
+ * at once, so that no second copy of the manifest stands in memory. Not for use by several threads.
+ *
+ * @code
+ * Assembly assembly({.version = 8, .root = head.root}, current);
+ * for (const Digest &hash : assembly.missing()) { ... assembly.add(hash, fetched) ... }
+ * if (assembly.isComplete()) { Result<ManifestIndex::Pointer> next = assembly.finish(); }
+ * @endcode
+ */
+class Assembly
+{
+public:
+    struct Target {
+        std::uint64_t version = 0;
+        Digest root;
+    };
+
+    /** @param earlier a version to take unchanged chunks from; may be null. */
+    explicit Assembly(const Target &target, ManifestIndex::Pointer earlier = nullptr);
+    ~Assembly();
+    Assembly(Assembly &&) noexcept;
+    Assembly &operator=(Assembly &&) noexcept;
+
+    const Target &target() const;
+
+    /** @return the chunks known to be lacking; more may turn up once these are here. */
+    std::vector<Digest> missing() const;
+
+    /** Takes a chunk. Fails with BadInput if its bytes are not what the hash or the manifest's form asks for. */
+    Result<void> add(const Digest &hash, std::string_view data);
+
+    bool isComplete() const;
+
+    /** Checks the whole and hands it over; call once, when complete. Fails with BadInput, e.g. if the versions differ. */
+    Result<ManifestIndex::Pointer> finish();
+
+private:
+    struct Parts;
+    std::unique_ptr<Parts> parts_;
+};
+
+} // namespace magnolia::manifest
+
+#endif
