--- /dev/null
+++ b/libs/experts/src/switchcoordinator.cpp
@@ -0,0 +1,8 @@
+#include "switchcoordinatorimpl.h"
+
+namespace magnolia::experts
+{
+
+template class SwitchCoordinator<SwitchRules>;
+
+} // namespace magnolia::experts
--- /dev/null
+++ b/libs/experts/src/switchrank.cpp
@@ -0,0 +1,8 @@
+#include "switchrankimpl.h"
+
+namespace magnolia::experts
+{
+
+template class SwitchRank<SwitchRules>;
+
+} // namespace magnolia::experts
