--- a/libs/http/include/http/httpclient.h
+++ b/libs/http/include/http/httpclient.h
@@ -43,7 +43,7 @@
 {
 public:
     struct Options {
-        std::string address; ///< "IP:PORT" (IPv6 in brackets)
+        std::string address{}; ///< "IP:PORT" (IPv6 in brackets)
         std::size_t maxConnections = 256; ///< Further calls wait; waiting counts against their timeout.
         Duration connectTimeout{1000};
         Duration idleTimeout{10000}; ///< An idle connection older than this is closed, not reused.
@@ -52,9 +52,9 @@
 
     struct Request {
         std::string method = "GET"; ///< GET, HEAD, POST, PUT, DELETE, PATCH or OPTIONS
-        std::string path; ///< Path and query, beginning with '/'.
-        Headers headers;
-        std::string body;
+        std::string path{}; ///< Path and query, beginning with '/'.
+        Headers headers{};
+        std::string body{};
         Duration timeout{5000}; ///< For the whole call.
         Duration silenceTimeout{0}; ///< Longest gap with nothing received once the answer began; 0: no limit of its own.
     };
@@ -63,9 +63,9 @@
     using CallId = std::uint64_t;
 
     struct StreamCallbacks {
-        std::function<void(int status, const Headers &headers)> onHeaders;
-        std::function<void(std::string_view data)> onData;
-        std::function<void(Result<void>)> onEnd; ///< Exactly once, unless cancelled. Success only if the answer is whole.
+        std::function<void(int status, const Headers &headers)> onHeaders{};
+        std::function<void(std::string_view data)> onData{};
+        std::function<void(Result<void>)> onEnd{}; ///< Exactly once, unless cancelled. Success only if the answer is whole.
     };
 
     HttpClient(event_base *loop, Options options);
--- a/libs/http/include/http/httpserver.h
+++ b/libs/http/include/http/httpserver.h
@@ -61,7 +61,7 @@
 {
 public:
     struct Options {
-        std::string address; ///< "IP:PORT"; port 0 picks a free one.
+        std::string address{}; ///< "IP:PORT"; port 0 picks a free one.
         std::size_t maxHeaderBytes = 16U << 10U;
         std::size_t maxBodyBytes = 4U << 20U;
         std::size_t maxConnections = 4096; ///< A further connection is answered 503 and closed.
