policy: admission queue, choice of endpoint, subset, retry budget, token buckets, backoff

The decisions under load as pure code: time and randomness come in, decisions go out.

Ruled out: one heap by virtual finish time in place of deficit round robin (same order under load, but a ticket that leaves the middle costs more); reading every candidate's load for the mean (more than the rest of the choice at 1,300).

--- a/libs/policy/include/policy/admissionqueue.h
+++ b/libs/policy/include/policy/admissionqueue.h
@@ -25,9 +25,10 @@
     MonoTime deadline; ///< When the caller gives up, on this instance's monotonic clock.
     bool wholeAnswer = false; ///< The caller needs the last token by the deadline, not just the first one.
     bool preemptible = false; ///< May be cancelled once it runs, and resumed later (a stream of an idempotent request).
+    bool started = false; ///< Set by the queue: it ran already and was preempted, so that it may not be told "not run".
 };
 
-/** The answer to an offer. A refused ticket has not run and never will. */
+/** The answer to an offer. A refused or displaced ticket has not run and never will. */
 struct AdmissionDecision {
     bool admitted = false;
     ErrorCode code = ErrorCode::Ok; ///< Why it was refused: Overloaded, DeadlineExceeded, Leaving or Conflict (an id offered twice).
@@ -48,11 +49,11 @@
 /** What became of a cancelled attempt. */
 enum class CancelOutcome : std::uint8_t {
     Unknown, ///< Not here.
-    Removed, ///< It was queued; it has not run and never will.
+    Removed, ///< It was queued and never will run (again); it has not run unless it was preempted.
     Running, ///< It runs: cancel it at the endpoint, then call finished().
 };
 
-/** A queued ticket whose deadline cannot be met any more; it has not run and never will. */
+/** A queued ticket whose deadline cannot be met any more; it has not run, unless ticket.started, and never will. */
 struct ExpiredTicket {
     Ticket ticket;
     Duration retryAfter{0};
@@ -127,7 +128,7 @@
     /** A preempted stream has stopped: it goes back to the head of its organisation's queue, and next() gives it again. */
     void preempted(const wire::AttemptId &id, MonoTime now);
 
-    /** Admits nothing more. @return the queued tickets, now removed: to be refused as Leaving, not run. */
+    /** Admits nothing more. @return the queued tickets, now removed: to be refused as Leaving; not run unless started. */
     std::span<const Ticket> drain(MonoTime now);
 
     /** @param limit attempts that run at once; those above a lowered limit run to their end. */
--- a/libs/policy/include/policy/endpointchooser.h
+++ b/libs/policy/include/policy/endpointchooser.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -83,6 +84,7 @@
 public:
     struct Options {
         double loadBound = 1.25; ///< Affinity is kept up to this multiple of the mean load; above 1.
+        double loadSlack = 0.25; ///< Affinity is kept in any case up to this load over limit above that.
         Duration reportHalfLife{2000}; ///< Age at which a report counts half.
         double regionPenalty = 0.5; ///< Added to the load over limit of an endpoint in another data centre of the region.
         double otherRegionPenalty = 2;
@@ -97,9 +99,11 @@
     std::vector<Choice> explain(const ChoiceRequest &request, std::span<const Candidate> candidates, MonoTime now, Random &random);
 
 private:
+    class Round;
+    static constexpr std::size_t DistanceCount = 3;
+
     Options options_;
-    std::vector<float> scores_;
-    std::vector<std::uint32_t> eligible_;
+    std::array<std::vector<std::uint32_t>, DistanceCount> byDistance_;
     std::vector<Choice> choices_;
 };
 
--- a/libs/policy/include/policy/endpointsubset.h
+++ b/libs/policy/include/policy/endpointsubset.h
@@ -22,9 +22,9 @@
 /**
  * Says which endpoints an entry keeps links to.
  *
- * With few endpoints all of them. Beyond that, for each model its own share of the links: nearest endpoints first, and
- * among those equally near the ones first in rendezvous order of entry and endpoint, with some remote spares in any case. A
- * pure function of its input: an endpoint that comes or goes changes at most one link per model that it serves.
+ * With few endpoints all of them. Beyond that each model gets links in proportion to its endpoints, nearest ones first, and
+ * among those equally near the ones first in rendezvous order of entry and endpoint, with some remote spares in any case.
+ * A pure function of its input: an endpoint that comes or goes changes a link or two per model that it serves.
  *
  * @code
  * const EndpointSubset subset({.target = 130});
--- /dev/null
+++ b/libs/policy/src/fairqueue.cpp
@@ -0,0 +1,160 @@
+#include "fairqueue.h"
+
+#include <algorithm>
+
+namespace magnolia::policy
+{
+
+namespace
+{
+
+/** Least cost of a ticket, so that a round always makes progress. */
+constexpr double MinCost = 1e-6;
+
+} // namespace
+
+FairQueue::~FairQueue()
+{
+    // The hooks check that nothing is linked any more when they go.
+    for (auto &[organisation, queue] : active_) {
+        queue.tickets.clear();
+    }
+    round_.clear();
+}
+
+OrganisationQueue &FairQueue::activate(const Ticket &ticket)
+{
+    const auto [position, isNew] = active_.try_emplace(ticket.organisation);
+    OrganisationQueue &queue = position->second;
+    if (isNew) {
+        queue.organisation = position->first;
+        queue.weight = std::max(ticket.weight, 1U);
+        weights_ += queue.weight;
+        round_.push_back(queue);
+    }
+    return queue;
+}
+
+void FairQueue::account(QueuedTicket &ticket, OrganisationQueue &queue)
+{
+    ticket.cost = std::max(ticket.cost, MinCost);
+    ticket.queue = &queue;
+    queue.backlog += ticket.cost;
+    backlog_ += ticket.cost;
+    ++size_;
+}
+
+void FairQueue::pushBack(QueuedTicket &ticket)
+{
+    OrganisationQueue &queue = activate(ticket.ticket);
+    queue.tickets.push_back(ticket);
+    account(ticket, queue);
+}
+
+void FairQueue::pushFront(QueuedTicket &ticket)
+{
+    OrganisationQueue &queue = activate(ticket.ticket);
+    queue.tickets.push_front(ticket);
+    account(ticket, queue);
+}
+
+void FairQueue::remove(QueuedTicket &ticket)
+{
+    OrganisationQueue &queue = *ticket.queue;
+    queue.tickets.erase(queue.tickets.iterator_to(ticket));
+    ticket.queue = nullptr;
+    queue.backlog -= ticket.cost;
+    backlog_ -= ticket.cost;
+    --size_;
+    if (!queue.tickets.empty()) {
+        return;
+    }
+    weights_ -= queue.weight;
+    round_.erase(round_.iterator_to(queue));
+    active_.erase(active_.find(std::string(queue.organisation)));
+    if (size_ == 0) {
+        // Sums of many differences drift; an empty queue is the place to begin afresh.
+        backlog_ = 0;
+        weights_ = 0;
+    }
+}
+
+QueuedTicket *FairQueue::pop()
+{
+    while (!round_.empty()) {
+        OrganisationQueue &queue = round_.front();
+        if (!queue.credited) {
+            queue.deficit += quantum(queue);
+            queue.credited = true;
+        }
+        QueuedTicket &head = queue.tickets.front();
+        if (queue.deficit >= head.cost) {
+            queue.deficit -= head.cost;
+            remove(head);
+            return &head;
+        }
+        queue.credited = false;
+        round_.splice(round_.end(), round_, round_.begin());
+    }
+    return nullptr;
+}
+
+QueuedTicket *FairQueue::largestBacklogTail(std::string_view newcomer, double weight, double cost)
+{
+    OrganisationQueue *largest = nullptr;
+    double largestShare = 0;
+    double newcomerShare = cost / weight;
+    for (OrganisationQueue &queue : round_) {
+        const double share = queue.backlog / queue.weight;
+        if (queue.organisation == newcomer) {
+            newcomerShare += share;
+        } else if (share > largestShare) {
+            largest = &queue;
+            largestShare = share;
+        }
+    }
+    if (largest == nullptr || largestShare <= newcomerShare) {
+        return nullptr;
+    }
+    QueuedTicket &tail = largest->tickets.back();
+    return tail.ticket.started ? nullptr : &tail;
+}
+
+double FairQueue::workAhead(std::string_view organisation, double weight) const
+{
+    const auto position = active_.find(std::string(organisation));
+    const bool isActive = position != active_.end();
+    const double own = isActive ? position->second.backlog : 0;
+    const double ownWeight = isActive ? position->second.weight : weight;
+    const double otherWeights = isActive ? weights_ - ownWeight : weights_;
+    // Its own work, what its share leaves to others meanwhile, and one turn of each of them; never more than all there is.
+    const double whileOwnRuns = own * (ownWeight + otherWeights) / ownWeight;
+    return std::min(backlog_, whileOwnRuns + otherWeights * unit());
+}
+
+std::size_t FairQueue::size() const
+{
+    return size_;
+}
+
+double FairQueue::backlog() const
+{
+    return backlog_;
+}
+
+double FairQueue::unit() const
+{
+    if (size_ == 0) {
+        return 0;
+    }
+    const double meanCost = backlog_ / static_cast<double>(size_);
+    const double meanWeight = weights_ / static_cast<double>(round_.size());
+    return meanCost / meanWeight;
+}
+
+double FairQueue::quantum(const OrganisationQueue &queue) const
+{
+    return std::max(queue.weight * unit(), MinCost);
+}
+
+} // namespace magnolia::policy
