Add the inner protocol: codec, link session, links over libevent

Each message's fields are listed once, for the reader and the writer. The library's CBOR reader recurses on nested containers and on strings of indefinite length, so a non-recursive check of the shape comes before it. What comes from HTTP travels as byte strings; text fields are checked for UTF-8, and encode() replaces what is invalid, since one odd message would otherwise cost the link that all requests share.

websocketpp is built as C++17 in one source behind src/websocket.h and knows no socket; eventlink.cpp joins it with a bufferevent and the session.

wire/link.h changes additively: LinkListener::listen takes an optional onRefused callback, and Link::send says when it returns false.

Shown by wire_test: round trip of each message, handshake and messages both ways over loopback.

--- a/libs/wire/include/wire/link.h
+++ b/libs/wire/include/wire/link.h
@@ -60,7 +60,12 @@
 
     virtual ~Link() = default;
 
-    /** Queues a message. @return false if the link is not ready or is closed; the message has then not left the process. */
+    /**
+     * Queues a message.
+     *
+     * @return false if the link is not ready or is closed, if the message is over maxFrameBytes (the link goes on), or
+     *         if the peer reads too slowly (the link then ends by onClosed). The message has then not left the process.
+     */
     virtual bool send(const Message &message) = 0;
 
     /** Closes at once; onClosed is not called. */
@@ -85,8 +90,12 @@
     /** Receives a ready link; returns the callbacks that it shall use from now on (onReady is not called). */
     using OnLink = std::function<Link::Callbacks(std::unique_ptr<Link>)>;
 
+    /** Told why a connection was not let in: a wrong key, another version, not our protocol, too slow. For logs and metrics. */
+    using OnRefused = std::function<void(const Failure &)>;
+
     /** @param address "IP:PORT"; port 0 picks a free one. */
-    static Result<std::unique_ptr<LinkListener>> listen(event_base *loop, std::string_view address, const LinkOptions &options, OnLink onLink);
+    static Result<std::unique_ptr<LinkListener>>
+    listen(event_base *loop, std::string_view address, const LinkOptions &options, OnLink onLink, OnRefused onRefused = {});
 
     virtual ~LinkListener() = default;
     virtual std::string address() const = 0; ///< The bound "IP:PORT".
--- /dev/null
+++ b/libs/wire/tests/samplemessages.cpp
@@ -0,0 +1,114 @@
+#include "samplemessages.h"
+
+namespace magnolia::wire
+{
+
+namespace
+{
+
+constexpr AttemptId SampleId{.request = {.high = 0x0123456789abcdefU, .low = 0xfedcba9876543210U}, .attempt = 2};
+
+} // namespace
+
+Dispatch sampleDispatch()
+{
+    return {
+        .id = SampleId,
+        .incarnation = 1'700'000'000'123U,
+        .organisation = "bottling-south",
+        .priorityClass = PriorityClass::Paying,
+        .weight = 10,
+        .model = "changeover",
+        .adapter = "labels",
+        .version = "2026-11",
+        .service = "",
+        .method = "POST",
+        .path = "/v1/chat/completions",
+        .headers = {{"content-type", "application/json"}, {"x-odd", "\xff\xfe"}},
+        .body = R"({"messages":[{"role":"user","content":"torque for the cap head?"}],"stream":true})",
+        .stream = true,
+        .idempotent = false,
+        .idempotencyKey = "line-4-2026-12-02",
+        .resumeAfter = 7,
+        .timeLeft = Duration(59'000),
+        .promptTokens = 120,
+        .traceparent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+        .manifestVersion = 1301,
+    };
+}
+
+Chunk sampleChunk()
+{
+    return {.id = SampleId, .index = 41, .data = R"({"choices":[{"index":0,"delta":{"content":" torque"}}]})"};
+}
+
+LoadReport sampleLoadReport()
+{
+    return {
+        .endpoint = "engine-1",
+        .incarnation = 1'700'000'000'123U,
+        .running = 12,
+        .queuedPaying = 1,
+        .queuedTrial = 30,
+        .limit = 16,
+        .waitPaying = Duration(120),
+        .waitTrial = Duration(2400),
+        .leaving = false,
+        .serving = true,
+        .loaded = {"changeover@2026-11", "changeover/labels@2026-11"},
+        .manifestVersion = 1301,
+    };
+}
+
+std::vector<Message> sampleMessages()
+{
+    return {
+        sampleDispatch(),
+        Cancel{.id = SampleId},
+        Query{.id = SampleId, .incarnation = 3},
+        QueryAnswer{.id = SampleId, .incarnation = 4, .verdict = Verdict::Ran, .running = true},
+        Attach{.id = SampleId, .fromChunk = 9},
+        sampleChunk(),
+        Finish{
+            .id = SampleId,
+            .verdict = Verdict::NotRun,
+            .status = 503,
+            .contentType = "application/json",
+            .errorCode = "overloaded",
+            .detail = "queue is full: délai",
+            .retryAfter = Duration(1500),
+            .chunks = 12,
+            .replayed = true,
+        },
+        sampleLoadReport(),
+        ManifestHead{.version = 1301, .root = "a1b2"},
+        ChunkRequest{.hash = "a1b2"},
+        ChunkData{.hash = "a1b2", .data = std::string("\0\x01\xff", 3)},
+        SwitchMessage{
+            .group = "g1",
+            .epoch = 1,
+            .map = 2,
+            .fromRank = 3,
+            .toRank = 4,
+            .toIncarnation = 5,
+            .fromIncarnation = 6,
+            .kind = 7,
+            .step = 8,
+            .payload = std::string("\x00\xff", 2),
+        },
+        Dispatch{},
+        Cancel{},
+        Query{},
+        QueryAnswer{},
+        Attach{},
+        Chunk{},
+        Finish{},
+        LoadReport{},
+        ManifestHead{},
+        ChunkRequest{},
+        ChunkData{},
+        SwitchMessage{},
+    };
+}
+
+} // namespace magnolia::wire
