--- a/libs/manifest/include/manifest/assembly.h
+++ b/libs/manifest/include/manifest/assembly.h
@@ -44,7 +44,10 @@
     /** @return the chunks known to be lacking; more may turn up once these are here. */
     std::vector<Digest> missing() const;
 
-    /** Takes a chunk. Fails with BadInput if its bytes are not what the hash or the manifest's form asks for. */
+    /**
+     * Takes a chunk; one that is not missing is ignored. Fails with ProtocolError if its bytes do not fit the hash, so
+     * that another source may have it, and with BadInput or TooLarge if the manifest itself is broken.
+     */
     Result<void> add(const Digest &hash, std::string_view data);
 
     bool isComplete() const;
--- a/libs/manifest/include/manifest/digest.h
+++ b/libs/manifest/include/manifest/digest.h
@@ -2,7 +2,6 @@
 #define MAGNOLIA_MANIFEST_DIGEST_H
 
 #include <array>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <cstring>
@@ -30,7 +29,11 @@
     /** Compares in a time that does not depend on where the two differ. */
     bool equalsConstantTime(const Digest &other) const;
 
-    auto operator<=>(const Digest &) const = default;
+    bool operator==(const Digest &) const = default;
+    bool operator<(const Digest &other) const
+    {
+        return bytes < other.bytes;
+    }
 };
 
 } // namespace magnolia::manifest
--- a/libs/manifest/include/manifest/manifestindex.h
+++ b/libs/manifest/include/manifest/manifestindex.h
@@ -54,7 +54,7 @@
 public:
     using Pointer = std::shared_ptr<const ManifestIndex>;
 
-    /** Builds an index from plain values, which must have been checked. Its version is that of the manifest. */
+    /** Builds an index from checked values. Its version is that of the manifest, at least 1. Throws if they do not fit. */
     static Pointer build(const Manifest &manifest);
 
     ~ManifestIndex();
@@ -65,14 +65,17 @@
     /** @return the content hash of the root chunk, 64 hexadecimal digits. */
     const std::string &root() const;
 
-    /** @param key a bearer key as the caller sent it. @return null if nobody has it. Compares hashes in constant time. */
+    /**
+     * @param key a bearer key as the caller sent it. @return null if nobody has it. Compares hashes in constant time.
+     * The keyHashes of organisations in an index are empty: it keeps them in a form of its own.
+     */
     const Organisation *organisationOfKey(std::string_view key) const;
     const Organisation *organisation(std::string_view name) const;
     std::size_t organisationCount() const;
 
     /** Fails with BadInput, NotFound or Forbidden, always NotRun. */
     Result<ModelTarget> resolveModel(const Organisation &organisation, std::string_view requested) const;
-    /** @return the names that resolveModel takes from this organisation without a version, in the manifest's order. */
+    /** @return the names that resolveModel takes from this organisation without a version. */
     std::vector<std::string> reachableModels(const Organisation &organisation) const;
     /** Fails with NotFound or Forbidden, always NotRun. */
     Result<const Service *> resolveService(const Organisation &organisation, std::string_view name) const;
--- a/libs/manifest/include/manifest/parser.h
+++ b/libs/manifest/include/manifest/parser.h
@@ -30,7 +30,7 @@
 /**
  * Reads a manifest as an operator or a pipeline wrote it, and checks the whole of it.
  *
- * Reports all problems at once, in the order of the document. Pure; any thread may call it.
+ * Reports all problems at once. Pure; any thread may call it.
  *
  * @code
  * const auto manifest = parseManifest(text, Format::Toml);
