--- a/libs/entry/include/entry/requesttracker.h
+++ b/libs/entry/include/entry/requesttracker.h
@@ -21,33 +21,42 @@
 
 /** Where an attempt was sent. */
 struct AttemptTarget {
-    std::string endpoint;
+    std::string agent; ///< Instance name of the agent.
     wire::Incarnation incarnation = 0;
     LinkId link = 0;
 };
 
-/** Please choose an endpoint, send the attempt there, and report by dispatched(), notSent() or noEndpoint(). */
+/** Why a further attempt is made; says which budget pays for it. */
+enum class RetryReason : std::uint8_t {
+    First, ///< It is the first attempt.
+    Unsent, ///< The one before never left the process.
+    Moved, ///< The agent is leaving or was restarted, and refused: no sign of overload.
+    Refused, ///< Refused for another reason, as a rule overload.
+    Lost, ///< The one before may have run and was lost.
+};
+
+/** Please choose an endpoint and its agent, send the attempt there, and report by dispatched(), notSent() or noEndpoint(). */
 struct ChooseEndpoint {
     wire::AttemptId id;
     std::uint32_t resumeAfter = 0;
-    bool isRetry = false; ///< An earlier attempt reached an agent: take it from the retry budget.
+    RetryReason reason = RetryReason::First;
 };
 
 /** Please ask the agent what became of the attempt. */
 struct SendQuery {
-    std::string endpoint;
+    std::string agent; ///< Instance name of the agent.
     wire::Query query;
 };
 
 /** Please ask the agent to go on with the attempt over the fresh link. */
 struct SendAttach {
-    std::string endpoint;
+    std::string agent; ///< Instance name of the agent.
     wire::Attach attach;
 };
 
 /** Please tell the agent that the attempt is no longer wanted, now or as soon as its link is back. */
 struct SendCancel {
-    std::string endpoint;
+    std::string agent; ///< Instance name of the agent.
     wire::Incarnation incarnation = 0;
     wire::Cancel cancel;
 };
@@ -84,7 +93,7 @@
  * RequestTracker tracker({.id = id, .deadline = now + 30s});
  * TrackerActions actions;
  * tracker.start(actions); // gives ChooseEndpoint
- * tracker.dispatched({.endpoint = "engine-1", .incarnation = 7, .link = 3});
+ * tracker.dispatched({.agent = "engine-1", .incarnation = 7, .link = 3});
  * tracker.chunk(3, std::move(chunk), now, actions); // gives DeliverChunk
  * @endcode
  */
@@ -123,8 +132,8 @@
     /** A fresh link to an agent is ready. */
     void linkUp(const AttemptTarget &fresh, MonoTime now, TrackerActions &actions);
 
-    /** A fresh connection to the agent of this endpoint failed too. */
-    void peerLost(std::string_view endpoint, MonoTime now, TrackerActions &actions);
+    /** A fresh connection to this agent failed too. */
+    void peerLost(std::string_view agent, MonoTime now, TrackerActions &actions);
 
     void deadlinePassed(TrackerActions &actions);
 
@@ -176,7 +185,7 @@
     wire::AttemptId attemptId() const;
     Attempt &present();
     bool isPresent(LinkId link, const wire::AttemptId &id) const;
-    void choose(TrackerActions &actions);
+    void choose(RetryReason reason, TrackerActions &actions);
     void deliverInOrder(TrackerActions &actions);
     void concludeIfWhole(TrackerActions &actions);
     void attemptFailed(Failure failure, std::uint32_t status, MonoTime now, TrackerActions &actions);
@@ -195,7 +204,6 @@
     std::optional<wire::Finish> success_; ///< Came, but chunks before it are missing.
     bool attachedForGap_ = false;
     std::optional<Failure> refusal_; ///< The most telling refusal so far.
-    bool reachedAnAgent_ = false;
 };
 
 } // namespace magnolia::entry
--- a/libs/entry/src/requesttracker.cpp
+++ b/libs/entry/src/requesttracker.cpp
@@ -29,6 +29,15 @@
         || code == ErrorCode::Conflict || code == ErrorCode::DeadlineExceeded;
 }
 
+RetryReason retryReasonOf(const Failure &failure)
+{
+    if (failure.verdict != Verdict::NotRun) {
+        return RetryReason::Lost;
+    }
+    const bool hasMoved = failure.code == ErrorCode::Leaving || failure.code == ErrorCode::StaleIncarnation;
+    return hasMoved ? RetryReason::Moved : RetryReason::Refused;
+}
+
 } // namespace
 
 RequestTracker::RequestTracker(Options options) : options_(options) {}
@@ -54,11 +63,11 @@
 void RequestTracker::start(TrackerActions &actions)
 {
     if (state_ == State::Idle) {
-        choose(actions);
+        choose(RetryReason::First, actions);
     }
 }
 
-void RequestTracker::choose(TrackerActions &actions)
+void RequestTracker::choose(RetryReason reason, TrackerActions &actions)
 {
     attempts_.emplace_back();
     held_.clear();
@@ -66,7 +75,7 @@
     success_.reset();
     attachedForGap_ = false;
     state_ = State::Choosing;
-    actions.emplace_back(ChooseEndpoint{.id = attemptId(), .resumeAfter = nextChunk_, .isRetry = reachedAnAgent_});
+    actions.emplace_back(ChooseEndpoint{.id = attemptId(), .resumeAfter = nextChunk_, .reason = reason});
 }
 
 void RequestTracker::dispatched(AttemptTarget target)
@@ -77,7 +86,6 @@
     // From here on nothing is proved until the agent says so.
     present().target = std::move(target);
     present().verdict = Verdict::MayHaveRun;
-    reachedAnAgent_ = true;
     state_ = State::Sent;
 }
 
@@ -171,7 +179,7 @@
             // A link keeps order, so a gap here means that chunks were lost. Ask for them once; if they are only late, the
             // doubles are dropped.
             attachedForGap_ = true;
-            actions.emplace_back(SendAttach{.endpoint = present().target.endpoint, .attach = {.id = attemptId(), .fromChunk = nextChunk_}});
+            actions.emplace_back(SendAttach{.agent = present().target.agent, .attach = {.id = attemptId(), .fromChunk = nextChunk_}});
         }
         return;
     }
@@ -215,7 +223,7 @@
         if (answer.verdict == Verdict::Ran) {
             present().verdict = Verdict::Ran;
         }
-        actions.emplace_back(SendAttach{.endpoint = present().target.endpoint, .attach = {.id = attemptId(), .fromChunk = nextChunk_}});
+        actions.emplace_back(SendAttach{.agent = present().target.agent, .attach = {.id = attemptId(), .fromChunk = nextChunk_}});
         return;
     }
     const Verdict verdict = present().verdict == Verdict::Ran ? Verdict::Ran : answer.verdict;
@@ -232,7 +240,7 @@
 
 void RequestTracker::linkUp(const AttemptTarget &fresh, MonoTime now, TrackerActions &actions)
 {
-    if (state_ != State::Stranded || present().target.endpoint != fresh.endpoint) {
+    if (state_ != State::Stranded || present().target.agent != fresh.agent) {
         return;
     }
     if (fresh.incarnation != present().target.incarnation) {
@@ -248,12 +256,12 @@
     success_.reset();
     attachedForGap_ = false;
     state_ = State::Querying;
-    actions.emplace_back(SendQuery{.endpoint = fresh.endpoint, .query = {.id = attemptId(), .incarnation = fresh.incarnation}});
+    actions.emplace_back(SendQuery{.agent = fresh.agent, .query = {.id = attemptId(), .incarnation = fresh.incarnation}});
 }
 
-void RequestTracker::peerLost(std::string_view endpoint, MonoTime now, TrackerActions &actions)
+void RequestTracker::peerLost(std::string_view agent, MonoTime now, TrackerActions &actions)
 {
-    if (state_ != State::Stranded || present().target.endpoint != endpoint) {
+    if (state_ != State::Stranded || present().target.agent != agent) {
         return;
     }
     attemptFailed({.code = ErrorCode::ConnectionLost, .verdict = present().verdict, .detail = "the endpoint's agent can't be reached", .retryAfter = {}},
@@ -264,6 +272,7 @@
 
 void RequestTracker::attemptFailed(Failure failure, std::uint32_t status, MonoTime now, TrackerActions &actions)
 {
+    const RetryReason reason = state_ == State::Choosing ? RetryReason::Unsent : retryReasonOf(failure);
     present().verdict = failure.verdict;
     rememberRefusal(failure);
     if (!mayTryAgain(failure, status, now)) {
@@ -274,7 +283,7 @@
         // The attempt may go on at an agent that is only cut off from here; tell it once it can be reached.
         cancelPresent(actions);
     }
-    choose(actions);
+    choose(reason, actions);
 }
 
 bool RequestTracker::mayTryAgain(const Failure &failure, std::uint32_t status, MonoTime now) const
@@ -309,7 +318,7 @@
 void RequestTracker::cancelPresent(TrackerActions &actions)
 {
     const Attempt &attempt = present();
-    actions.emplace_back(SendCancel{.endpoint = attempt.target.endpoint, .incarnation = attempt.target.incarnation, .cancel = {.id = attemptId()}});
+    actions.emplace_back(SendCancel{.agent = attempt.target.agent, .incarnation = attempt.target.incarnation, .cancel = {.id = attemptId()}});
 }
 
 void RequestTracker::deadlinePassed(TrackerActions &actions)
--- a/libs/entry/tests/requesttrackertest.cpp
+++ b/libs/entry/tests/requesttrackertest.cpp
@@ -30,7 +30,7 @@
 
     void dispatch(const std::string &endpoint = "engine-1", wire::Incarnation incarnation = FirstIncarnation, LinkId link = FirstLink)
     {
-        tracker.dispatched({.endpoint = endpoint, .incarnation = incarnation, .link = link});
+        tracker.dispatched({.agent = endpoint, .incarnation = incarnation, .link = link});
     }
 
     void chunk(std::uint32_t index, LinkId link = FirstLink, std::uint32_t attempt = 1)
@@ -62,7 +62,7 @@
     void breakLinkAndReturnAs(wire::Incarnation incarnation)
     {
         tracker.linkDown(FirstLink);
-        tracker.linkUp({.endpoint = "engine-1", .incarnation = incarnation, .link = FreshLink}, now, actions);
+        tracker.linkUp({.agent = "engine-1", .incarnation = incarnation, .link = FreshLink}, now, actions);
     }
 
     void answerQuery(Verdict verdict, bool running, wire::Incarnation incarnation = FirstIncarnation)
@@ -159,8 +159,8 @@
     refuse(Verdict::NotRun, "overloaded");
     const auto choices = all<ChooseEndpoint>();
     BOOST_REQUIRE_EQUAL(choices.size(), 2U);
-    BOOST_TEST(!choices[0].isRetry);
-    BOOST_TEST(choices[1].isRetry);
+    BOOST_TEST((choices[0].reason == RetryReason::First));
+    BOOST_TEST((choices[1].reason == RetryReason::Refused));
     BOOST_TEST(choices[1].id.attempt == 2U);
     dispatch("engine-2", 5, OtherLink);
     chunk(0, OtherLink, 2);
@@ -183,7 +183,7 @@
 {
     tracker.notSent(now, actions);
     BOOST_REQUIRE_EQUAL(all<ChooseEndpoint>().size(), 2U);
-    BOOST_TEST(!all<ChooseEndpoint>()[1].isRetry);
+    BOOST_TEST((all<ChooseEndpoint>()[1].reason == RetryReason::Unsent));
     BOOST_TEST((tracker.verdict() == Verdict::NotRun));
 }
 
@@ -215,7 +215,8 @@
 {
     dispatch();
     refuse(Verdict::NotRun, "leaving");
-    BOOST_TEST(all<ChooseEndpoint>().size() == 2U);
+    BOOST_REQUIRE_EQUAL(all<ChooseEndpoint>().size(), 2U);
+    BOOST_TEST((all<ChooseEndpoint>()[1].reason == RetryReason::Moved));
 }
 
 BOOST_FIXTURE_TEST_CASE(stream_engineDied_resumesAfterLastChunkGivenOut, Fixture)
@@ -230,6 +231,7 @@
     refuse(Verdict::Ran, "connection_lost");
     BOOST_REQUIRE_EQUAL(all<ChooseEndpoint>().size(), 2U);
     BOOST_TEST(all<ChooseEndpoint>()[1].resumeAfter == 2U);
+    BOOST_TEST((all<ChooseEndpoint>()[1].reason == RetryReason::Lost));
     dispatch("engine-2", 5, OtherLink);
     chunk(2);
     BOOST_TEST(delivered() == "01");
