--- a/libs/http/src/httpclient.cpp
+++ b/libs/http/src/httpclient.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <deque>
 #include <limits>
 #include <list>
@@ -43,6 +44,16 @@
     return hasNoBody || headers.contains("content-length") || headers.contains("transfer-encoding");
 }
 
+bool isAnnouncedTooLarge(const Headers &headers, std::size_t limit)
+{
+    const auto found = headers.find("content-length");
+    std::size_t length = 0;
+    if (found != headers.end()) {
+        std::from_chars(found->second.data(), found->second.data() + found->second.size(), length);
+    }
+    return length > limit;
+}
+
 } // namespace
 
 class HttpClient::Impl
@@ -346,8 +357,6 @@
     connection->idleTimer.reset(evtimer_new(loop_, &Impl::onIdleTimeout, connection.get()));
     // Never resend: a request whose connection closed under it may have run. (No retries is evhttp's default as well.)
     evhttp_connection_set_retries(connection->handle, 0);
-    // An early refusal (413) may come while the body is still being sent.
-    evhttp_connection_set_flags(connection->handle, EVHTTP_CON_READ_ON_WRITE_ERROR);
     evhttp_connection_set_max_headers_size(connection->handle, MaxAnswerHeaderBytes);
     const timeval none = toTimeval(NoTimeout);
     evhttp_connection_set_timeout_tv(connection->handle, &none);
@@ -442,12 +451,12 @@
     if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
         // One connection that closed under a request makes its idle siblings doubtful too (the far end restarted).
         closeIdle();
-        const bool isTooLong = connection.error == EVREQ_HTTP_DATA_TOO_LONG;
-        const bool isMalformed = connection.error == EVREQ_HTTP_INVALID_HEADER;
-        if (isTooLong) {
+        const bool isMalformed = connection.error == EVREQ_HTTP_INVALID_HEADER || connection.error == EVREQ_HTTP_DATA_TOO_LONG;
+        if (isAnnouncedTooLarge(call->response.headers, options_.maxBodyBytes)) {
             failCall(*call, ErrorCode::TooLarge, "the answer is over the limit");
         } else if (isMalformed) {
-            failCall(*call, ErrorCode::ProtocolError, "the answer is malformed");
+            // evhttp says "too long" of a chunk with a broken size as well.
+            failCall(*call, ErrorCode::ProtocolError, "the answer is malformed, or a part of it over the limit");
         } else if (!call->isSent) {
             failCall(*call, ErrorCode::Unavailable, "could not connect");
         } else {
--- a/libs/http/src/httpserver.cpp
+++ b/libs/http/src/httpserver.cpp
@@ -177,7 +177,8 @@
 
 private:
     void refuse(int status, const Failure &failure);
-    void received(std::size_t added);
+    void received(const evbuffer_cb_info &info);
+    bool isHeaderTooLong() const;
     void watchHangup();
     void unwatchHangup();
 
@@ -192,6 +193,7 @@
     bool isReading_ = true; ///< A request is awaited or read; false while it is with the handler.
     bool isRefused_ = false;
     std::size_t received_ = 0; ///< Bytes of the request that is being read.
+    std::size_t consumed_ = 0; ///< Those of them that evhttp has taken from the input buffer.
     evhttp_request *request_ = nullptr; ///< The one that is with the handler.
     std::weak_ptr<ExchangeImpl> exchange_;
     int watchedFd_ = -1;
@@ -412,9 +414,10 @@
     abortSoon();
 }
 
-void Connection::received(std::size_t added)
+void Connection::received(const evbuffer_cb_info &info)
 {
-    received_ += added;
+    received_ += info.n_added;
+    consumed_ += info.n_deleted;
     const HttpServer::Options &options = server_->options();
     const std::size_t framing = options.maxBodyBytes / 4 + FramingMargin;
     // evhttp would gather it all in memory, and says 413 with a page of its own for headers and bodies alike.
@@ -427,20 +430,19 @@
 {
     isReading_ = false;
     received_ = 0;
+    consumed_ = 0;
     if (isBodyLeftUnread(request)) {
         refuse(HTTP_BADREQUEST, refusal(ErrorCode::BadInput, "this method takes no body"));
         return;
     }
+    if (evbuffer_get_length(evhttp_request_get_input_buffer(request)) > server_->options().maxBodyBytes) {
+        refuse(StatusTooLarge, refusal(ErrorCode::TooLarge, "the body is over the limit"));
+        return;
+    }
     request_ = request;
     auto exchange = std::make_shared<ExchangeImpl>(this, request);
     exchange_ = exchange;
     server_->exchangeOpened();
-    if (exchange->body().size() > server_->options().maxBodyBytes) {
-        exchange->reply(StatusTooLarge,
-                        {{"content-type", "application/json"}, {"x-verdict", "not-run"}},
-                        errorBody(refusal(ErrorCode::TooLarge, "the body is over the limit")));
-        return;
-    }
     watchHangup();
     server_->handler()(std::move(exchange));
 }
@@ -502,7 +504,7 @@
 
 void Connection::onInputChange(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *connection)
 {
-    static_cast<Connection *>(connection)->received(info->n_added);
+    static_cast<Connection *>(connection)->received(*info);
 }
 
 void Connection::onOutputChange(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *connection)
@@ -527,12 +529,22 @@
     if (status < HTTP_BADREQUEST) {
         return; // "100 Continue".
     }
-    if (status == StatusTooLarge) {
-        // Bodies are limited by us, so for evhttp only headers can be too large.
+    if (answered->isHeaderTooLong()) {
         answered->refuse(StatusHeadersTooLarge, refusal(ErrorCode::TooLarge, "the headers are over the limit"));
-    } else {
-        answered->refuse(status, refusal(ErrorCode::BadInput, "the request is malformed"));
+        return;
     }
+    // Bodies are limited by us; what evhttp calls too large is a chunk with a broken size.
+    answered->refuse(status == StatusTooLarge ? HTTP_BADREQUEST : status, refusal(ErrorCode::BadInput, "the request is malformed"));
+}
+
+// evhttp says 400 of long headers too. It takes them line by line, and gives up on the line that is too much.
+bool Connection::isHeaderTooLong() const
+{
+    const std::size_t limit = server_->options().maxHeaderBytes;
+    evbuffer *input = bufferevent_get_input(stream());
+    const std::size_t left = evbuffer_get_length(input);
+    const bool isLineOpen = evbuffer_search_eol(input, nullptr, nullptr, EVBUFFER_EOL_LF).pos < 0;
+    return consumed_ > limit || (isLineOpen && consumed_ + left > limit);
 }
 
 void Connection::onHangupSeen(evutil_socket_t fd, short /*what*/, void *connection)
