--- a/tests/path/src/deployment.cpp
+++ b/tests/path/src/deployment.cpp
@@ -311,7 +311,7 @@
 
 std::string Deployment::writeFile(const std::string &name, const std::string &text) const
 {
-    const std::string file = (folder_ / name).string();
+    std::string file = (folder_ / name).string();
     std::ofstream(file, std::ios::binary) << text;
     return file;
 }
