Compile through ccache where it is there

Cause: with several working copies side by side each rebase compiled everything again and the machine was busy with nothing else (load 42 on 12 cores). Ruled out: fewer checks before a change reaches main.

--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    g++ cmake ninja-build pkg-config curl clang-format clang-tidy
+    g++ ccache cmake ninja-build pkg-config curl clang-format clang-tidy
     libboost-dev libboost-test-dev libboost-system-dev libboost-filesystem-dev
     libevent-dev libwebsocketpp-dev libssl-dev
     libtomlplusplus-dev nlohmann-json3-dev libexpected-dev
