--- a/libs/policy/include/policy/endpointchooser.h
+++ b/libs/policy/include/policy/endpointchooser.h
@@ -4,9 +4,9 @@
 #include "base/clock.h"
 #include "base/random.h"
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -15,6 +15,8 @@
 namespace magnolia::policy
 {
 
+class PrefixRates;
+
 /** Identity of an endpoint for hashing: the same in every process. */
 using EndpointKey = std::uint64_t;
 
@@ -71,8 +73,9 @@
  *
  * Cache affinity by rendezvous hash of the prompt's prefix with a load bound; two choices on the estimated load otherwise.
  * The estimate is the entry's own requests in flight plus what others had there by the latest report, which is
- * trusted less as it ages and drawn towards the mean, so that a stale report of an idle endpoint draws no herd. Keeps
- * scratch memory only, so that choosing allocates nothing once warm. Not thread-safe.
+ * trusted less as it ages and drawn towards the mean, so that a stale report of an idle endpoint draws no herd. Remembers
+ * how frequent the most frequent prefixes are, in a table of fixed size, to give them more than one home; choosing allocates
+ * nothing once warm. Lives as long as its entry's task. Not thread-safe.
  *
  * @code
  * const auto choices = chooser.choose({.prefix = hash}, candidates, clock.now(), random);
@@ -84,13 +87,17 @@
 public:
     struct Options {
         double loadBound = 1.25; ///< Affinity is kept up to this multiple of the mean load; above 1.
-        double loadSlack = 0.25; ///< Affinity is kept in any case up to this load over limit above that.
-        Duration reportHalfLife{2000}; ///< Age at which a report counts half.
+        double loadSlack = 0.1; ///< Affinity is kept in any case up to this load over limit above that.
+        double homeFill = 0.4; ///< A prefix gets another home for each such multiple of an endpoint's mean share that it has.
+        Duration reportHalfLife{500}; ///< Age at which a report counts half.
         double regionPenalty = 0.5; ///< Added to the load over limit of an endpoint in another data centre of the region.
         double otherRegionPenalty = 2;
     };
 
     explicit EndpointChooser(const Options &options);
+    ~EndpointChooser();
+    EndpointChooser(const EndpointChooser &) = delete;
+    EndpointChooser &operator=(const EndpointChooser &) = delete;
 
     /** @return up to four choices, best first; empty if every candidate has been tried. Valid until the next call. */
     std::span<const Choice> choose(const ChoiceRequest &request, std::span<const Candidate> candidates, MonoTime now, Random &random);
@@ -100,10 +107,10 @@
 
 private:
     class Round;
-    static constexpr std::size_t DistanceCount = 3;
 
     Options options_;
-    std::array<std::vector<std::uint32_t>, DistanceCount> byDistance_;
+    std::unique_ptr<PrefixRates> rates_;
+    std::vector<std::uint32_t> nearest_;
     std::vector<Choice> choices_;
 };
 
--- a/libs/policy/src/endpointchooser.cpp
+++ b/libs/policy/src/endpointchooser.cpp
@@ -1,11 +1,14 @@
 #include "policy/endpointchooser.h"
 
+#include "prefixrates.h"
+
 // Inlined, since it is called once for each candidate.
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 
 namespace magnolia::policy
@@ -87,11 +90,12 @@
     void run()
     {
         chooser_.choices_.clear();
-        partition();
-        if (nearest() == nullptr) {
+        listNearest();
+        if (nearest_.empty()) {
             return;
         }
         estimateMean();
+        elsewhere_ = betterOfTwoElsewhere();
         if (request_.prefix) {
             rankByPrefix();
             addAffine();
@@ -112,39 +116,42 @@
     }
 
 private:
+    using IndexList = std::span<const std::uint32_t>;
+
     struct Ranked {
         std::uint64_t hash = 0;
         std::uint32_t index = 0;
     };
 
-    /** Splits the candidates not yet tried by distance. */
-    void partition()
+    /** Lists the candidates not yet tried that are at the least distance. */
+    void listNearest()
     {
-        for (auto &list : chooser_.byDistance_) {
-            list.resize(candidates_.size());
-        }
-        std::array<std::size_t, DistanceCount> counts{};
-        const bool noneTried = request_.tried.empty();
-        for (std::uint32_t i = 0; i < candidates_.size(); ++i) {
-            if (noneTried || !isTried(i)) {
-                const auto distance = static_cast<std::size_t>(candidates_[i].distance);
-                chooser_.byDistance_[distance][counts[distance]++] = i;
+        std::vector<std::uint32_t> &scratch = chooser_.nearest_;
+        // It only grows: setting it to zero anew for each choice would cost as much as filling it.
+        scratch.resize(std::max(scratch.size(), candidates_.size()));
+        for (const Distance distance : {Distance::SameDataCentre, Distance::SameRegion, Distance::OtherRegion}) {
+            nearest_ = indicesAt(distance, scratch);
+            nearestDistance_ = distance;
+            if (!nearest_.empty()) {
+                return;
             }
         }
-        for (std::size_t distance = 0; distance < DistanceCount; ++distance) {
-            chooser_.byDistance_[distance].resize(counts[distance]);
-        }
     }
 
-    /** @return the candidates at the least distance; null if there are none at all. */
-    const std::vector<std::uint32_t> *nearest() const
+    IndexList indicesAt(Distance distance, std::span<std::uint32_t> scratch) const
     {
-        for (const auto &list : chooser_.byDistance_) {
-            if (!list.empty()) {
-                return &list;
-            }
+        // Always written and counted only where it belongs: without a branch that depends on the candidate.
+        std::size_t count = 0;
+        for (std::uint32_t i = 0; i < candidates_.size(); ++i) {
+            scratch[count] = i;
+            count += candidates_[i].distance == distance ? 1 : 0;
+        }
+        if (request_.tried.empty()) {
+            return scratch.first(count);
         }
-        return nullptr;
+        const auto end =
+            std::remove_if(scratch.begin(), scratch.begin() + static_cast<std::ptrdiff_t>(count), [this](std::uint32_t index) { return isTried(index); });
+        return scratch.first(static_cast<std::size_t>(end - scratch.begin()));
     }
 
     static double othersOverLimit(const Candidate &candidate)
@@ -191,7 +198,7 @@
     /** Mean load of the nearest candidates: of all of them where they are few, else of a sample. */
     void estimateMean()
     {
-        const auto &list = *nearest();
+        const IndexList list = nearest_;
         const std::size_t samples = std::min(list.size(), MeanSamples);
         const std::size_t start = list.size() > samples ? below(list.size(), random_) : 0;
         // Neighbours in the list tell no more than any others do, as candidates come in no order of load.
@@ -213,7 +220,7 @@
     void rankByPrefix()
     {
         std::uint64_t lowest = 0;
-        for (const std::uint32_t index : *nearest()) {
+        for (const std::uint32_t index : nearest_) {
             const std::uint64_t hash = rendezvousHash(candidates_[index].endpoint, *request_.prefix);
             if (rankedCount_ == MaxChoices && hash <= lowest) {
                 continue;
@@ -253,9 +260,28 @@
         return unitInterval(random_) < (ceiling - load) / (ceiling - bound);
     }
 
+    /**
+     * A frequent prefix is more than one endpoint's share of the work. Its endpoint would fill up, and reports say so too late: so
+     * it gets as many homes as its rate needs before any of them is crowded, and the least loaded of these goes first.
+     */
+    void orderHomes()
+    {
+        const double share = chooser_.rates_->count(*request_.prefix);
+        const double needed = std::ceil(share * static_cast<double>(nearest_.size()) / chooser_.options_.homeFill);
+        const auto homes = static_cast<std::size_t>(std::clamp(needed, 1.0, static_cast<double>(rankedCount_)));
+        if (homes < 2) {
+            return;
+        }
+        const std::size_t first = below(homes, random_);
+        const std::size_t second = below(homes, random_);
+        const std::size_t chosen = score(ranked_[first].index) <= score(ranked_[second].index) ? first : second;
+        std::swap(ranked_[0], ranked_[chosen]);
+    }
+
     void addAffine()
     {
-        const double elsewhere = bestElsewhere();
+        orderHomes();
+        const double elsewhere = elsewhere_ ? elsewhere_->score : std::numeric_limits<double>::infinity();
         std::array<Choice, MaxChoices> accepted{};
         std::size_t count = 0;
         for (std::size_t i = 0; i < rankedCount_; ++i) {
@@ -265,31 +291,55 @@
                 accepted[count++] = {.index = index, .score = load, .reason = ChoiceReason::PrefixAffinity};
             }
         }
-        // A hint decides only between endpoints that the prefix's order names anyway: events are late and some are lost,
-        // and a false one must not draw the prefix to an endpoint that other entries do not look at.
-        for (std::size_t i = 0; i < count && !request_.cacheHints.empty(); ++i) {
-            if (contains(request_.cacheHints, candidates_[accepted[i].index].endpoint)) {
-                accepted[i].reason = ChoiceReason::CacheHint;
-                std::rotate(accepted.begin(), accepted.begin() + static_cast<std::ptrdiff_t>(i), accepted.begin() + static_cast<std::ptrdiff_t>(i) + 1);
-                break;
-            }
-        }
+        preferHinted(std::span(accepted).first(count));
         chooser_.choices_.insert(chooser_.choices_.end(), accepted.begin(), accepted.begin() + static_cast<std::ptrdiff_t>(count));
     }
 
-    /** @return the score of the better of two farther candidates: nearer ones that are worse than this lose affinity. */
-    double bestElsewhere()
+    /**
+     * A hint decides only between endpoints that the prefix's order names anyway, and only where it costs no balance: events are
+     * late and some are lost, and a false one must not draw the prefix to an endpoint that other entries do not look at.
+     */
+    void preferHinted(std::span<Choice> accepted) const
     {
-        double best = std::numeric_limits<double>::infinity();
-        for (const auto &list : chooser_.byDistance_) {
-            if (!list.empty() && &list != nearest()) {
-                best = std::min(best, betterOfTwo(list).score);
+        if (accepted.empty() || request_.cacheHints.empty() || isHinted(accepted.front())) {
+            return;
+        }
+        const double loadOfFirst = accepted.front().score;
+        const auto better =
+            std::ranges::find_if(accepted, [this, loadOfFirst](const Choice &choice) { return choice.score <= loadOfFirst && isHinted(choice); });
+        if (better != accepted.end()) {
+            better->reason = ChoiceReason::CacheHint;
+            std::rotate(accepted.begin(), better, better + 1);
+        }
+    }
+
+    bool isHinted(const Choice &choice) const
+    {
+        return contains(request_.cacheHints, candidates_[choice.index].endpoint);
+    }
+
+    /** @return the better of two farther candidates taken at random; nothing if none was met with. */
+    std::optional<Choice> betterOfTwoElsewhere()
+    {
+        constexpr int Tries = 8;
+        constexpr int Wanted = 2;
+        std::optional<Choice> best;
+        int found = 0;
+        for (int i = 0; i < Tries && found < Wanted; ++i) {
+            const std::size_t index = below(candidates_.size(), random_);
+            if (candidates_[index].distance <= nearestDistance_ || isTried(index)) {
+                continue;
+            }
+            ++found;
+            const double load = score(index);
+            if (!best || load < best->score) {
+                best = Choice{.index = index, .score = load, .reason = ChoiceReason::TwoChoices};
             }
         }
         return best;
     }
 
-    Choice betterOfTwo(const std::vector<std::uint32_t> &list)
+    Choice betterOfTwo(IndexList list)
     {
         const std::size_t first = list[below(list.size(), random_)];
         const std::size_t second = list[below(list.size(), random_)];
@@ -312,50 +362,58 @@
 
     void addTwoChoices()
     {
-        Choice best{.index = 0, .score = std::numeric_limits<double>::infinity(), .reason = ChoiceReason::TwoChoices};
-        for (const auto &list : chooser_.byDistance_) {
-            if (list.empty()) {
-                continue;
-            }
-            const Choice choice = betterOfTwo(list);
-            if (choice.score < best.score) {
-                best = choice;
-            }
-        }
-        add(best);
+        const Choice near = betterOfTwo(nearest_);
+        add(elsewhere_ && elsewhere_->score < near.score ? *elsewhere_ : near);
     }
 
-    /** Fills up with further random candidates, nearer ones first, so that a refusal finds the next one at hand. */
+    /** Fills up with further random candidates, nearest ones first, so that a refusal finds the next one at hand. */
     void addSpares()
     {
-        auto &choices = chooser_.choices_;
-        for (const auto &list : chooser_.byDistance_) {
-            const std::size_t wanted = std::min(list.size(), MaxChoices);
-            const std::size_t start = list.empty() ? 0 : below(list.size(), random_);
-            for (std::size_t i = 0; i < wanted && choices.size() < MaxChoices; ++i) {
-                const std::size_t index = list[(start + i) % list.size()];
-                add({.index = index, .score = score(index), .reason = ChoiceReason::Spare});
+        const std::size_t nearStart = below(nearest_.size(), random_);
+        for (std::size_t i = 0; i < nearest_.size() && !isFull(); ++i) {
+            addSpare(nearest_[(nearStart + i) % nearest_.size()]);
+        }
+        const std::size_t start = below(candidates_.size(), random_);
+        for (std::size_t i = 0; i < candidates_.size() && !isFull(); ++i) {
+            const std::size_t index = (start + i) % candidates_.size();
+            if (!isTried(index)) {
+                addSpare(index);
             }
         }
     }
 
+    void addSpare(std::size_t index)
+    {
+        add({.index = index, .score = score(index), .reason = ChoiceReason::Spare});
+    }
+
+    bool isFull() const
+    {
+        return chooser_.choices_.size() == MaxChoices;
+    }
+
     EndpointChooser &chooser_;
     const Options &options_;
     const ChoiceRequest &request_;
     std::span<const Candidate> candidates_;
     MonoTime now_;
     Random &random_;
+    IndexList nearest_; ///< The candidates not yet tried at the least distance.
+    Distance nearestDistance_ = Distance::SameDataCentre;
+    std::optional<Choice> elsewhere_; ///< A farther one, for when those are loaded more than its distance costs.
     double meanOthers_ = 0;
     double mean_ = 0;
     std::array<Ranked, MaxChoices> ranked_{};
     std::size_t rankedCount_ = 0;
 };
 
-EndpointChooser::EndpointChooser(const Options &options) : options_(options)
+EndpointChooser::EndpointChooser(const Options &options) : options_(options), rates_(std::make_unique<PrefixRates>())
 {
     choices_.reserve(MaxChoices);
 }
 
+EndpointChooser::~EndpointChooser() = default;
+
 std::span<const Choice> EndpointChooser::choose(const ChoiceRequest &request, std::span<const Candidate> candidates, MonoTime now, Random &random)
 {
     Round(*this, request, candidates, now, random).run();
