--- a/libs/http/include/http/socketaddress.h
+++ b/libs/http/include/http/socketaddress.h
@@ -35,6 +35,12 @@
 /** Sets TCP_NODELAY, keepalive and TCP_USER_TIMEOUT, so that a peer that vanished is noticed within seconds. */
 void tuneSocket(int fd);
 
+/**
+ * Makes writing to a connection that the peer has closed an error of that connection, not the end of the process: libevent
+ * writes without MSG_NOSIGNAL. Leaves a handler that the program has set alone. HttpClient and HttpServer call it.
+ */
+void ignoreBrokenPipes();
+
 } // namespace magnolia::http
 
 #endif
--- a/libs/http/src/httpserver.cpp
+++ b/libs/http/src/httpserver.cpp
@@ -678,6 +678,7 @@
 
 Result<std::unique_ptr<HttpServer>> HttpServer::listen(event_base *loop, Options options, Handler handler)
 {
+    ignoreBrokenPipes();
     auto server = std::make_unique<ServerImpl>(loop, std::move(options), std::move(handler));
     if (const auto bound = server->bind(); !bound) {
         return tl::unexpected<Failure>(bound.error());
--- a/libs/http/src/socketaddress.cpp
+++ b/libs/http/src/socketaddress.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <charconv>
+#include <csignal>
 #include <system_error>
 
 namespace magnolia::http
@@ -126,4 +127,14 @@
     setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMilliseconds);
 }
 
+void ignoreBrokenPipes()
+{
+    struct sigaction present {
+    };
+    const bool isDefault = sigaction(SIGPIPE, nullptr, &present) == 0 && present.sa_handler == SIG_DFL;
+    if (isDefault) {
+        std::signal(SIGPIPE, SIG_IGN);
+    }
+}
+
 } // namespace magnolia::http
--- /dev/null
+++ b/libs/platform/include/platform/httpinstances.h
@@ -0,0 +1,45 @@
+#ifndef MAGNOLIA_PLATFORM_HTTPINSTANCES_H
+#define MAGNOLIA_PLATFORM_HTTPINSTANCES_H
+
+#include "base/clock.h"
+#include "platform/instancelist.h"
+
+#include <memory>
+#include <string>
+
+struct event_base;
+
+namespace magnolia::platform
+{
+
+/**
+ * The platform's list of instances over HTTP.
+ *
+ * An entry of the list that makes no sense is left out, so that one bad registration doesn't hide all the others. Lives
+ * on one event loop; destroying it abandons its calls without calling back. Models InstanceList.
+ */
+class HttpInstances
+{
+public:
+    struct Options {
+        std::string address{}; ///< "IP:PORT"
+        Duration timeout{2000}; ///< For each call.
+    };
+
+    HttpInstances(event_base *loop, const Options &options);
+    ~HttpInstances();
+    HttpInstances(const HttpInstances &) = delete;
+    HttpInstances &operator=(const HttpInstances &) = delete;
+
+    void fetch(InstancesCallback done);
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+static_assert(InstanceList<HttpInstances>);
+
+} // namespace magnolia::platform
+
+#endif
--- /dev/null
+++ b/libs/platform/src/httpobjects.cpp
@@ -0,0 +1,78 @@
+#include "platform/httpobjects.h"
+
+#include "http/httpclient.h"
+#include "replyreader.h"
+
+#include <optional>
+#include <utility>
+
+namespace magnolia::platform
+{
+
+namespace
+{
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+
+std::string objectPath(const std::string &name)
+{
+    return "/objects/" + percentEncoded(name);
+}
+
+Result<std::optional<std::string>> objectOf(Result<http::Response> response)
+{
+    if (!response) {
+        return tl::unexpected<Failure>(response.error());
+    }
+    if (response->status == StatusNotFound) {
+        return std::nullopt;
+    }
+    if (response->status != StatusOk) {
+        return tl::unexpected<Failure>(unexpectedAnswer(*response));
+    }
+    return std::move(response->body);
+}
+
+Result<void> storedOf(const Result<http::Response> &response)
+{
+    if (!response) {
+        return tl::unexpected<Failure>(response.error());
+    }
+    if (response->status != StatusOk) {
+        return tl::unexpected<Failure>(unexpectedAnswer(*response));
+    }
+    return {};
+}
+
+} // namespace
+
+class HttpObjects::Impl
+{
+public:
+    Impl(event_base *loop, const Options &options)
+        : timeout(options.timeout), client(loop, {.address = options.address, .maxBodyBytes = options.maxObjectBytes})
+    {
+    }
+
+    Duration timeout;
+    http::HttpClient client;
+};
+
+HttpObjects::HttpObjects(event_base *loop, const Options &options) : impl_(std::make_unique<Impl>(loop, options)) {}
+
+HttpObjects::~HttpObjects() = default;
+
+void HttpObjects::put(const std::string &name, std::string data, PutCallback done)
+{
+    http::HttpClient::Request request{.method = "PUT", .path = objectPath(name), .body = std::move(data), .timeout = impl_->timeout};
+    impl_->client.send(std::move(request), [done = std::move(done)](const Result<http::Response> &response) { done(storedOf(response)); });
+}
+
+void HttpObjects::get(const std::string &name, GetCallback done)
+{
+    impl_->client.send({.method = "GET", .path = objectPath(name), .timeout = impl_->timeout},
+                       [done = std::move(done)](Result<http::Response> response) { done(objectOf(std::move(response))); });
+}
+
+} // namespace magnolia::platform
--- /dev/null
+++ b/libs/platform/src/replyreader.cpp
@@ -0,0 +1,87 @@
+#include "replyreader.h"
+
+#include <event2/http.h>
+
+#include <charconv>
+#include <cstddef>
+#include <cstdlib>
+
+namespace magnolia::platform
+{
+
+namespace
+{
+
+constexpr int StatusTooManyRequests = 429;
+constexpr int StatusUnavailable = 503;
+constexpr int MaxDepth = 16; ///< Answers of the platform nest four deep at most.
+
+std::optional<std::chrono::milliseconds> retryAfterOf(const http::Response &response)
+{
+    const auto found = response.headers.find("retry-after");
+    if (found == response.headers.end()) {
+        return std::nullopt;
+    }
+    constexpr int MaxSeconds = 3600;
+    int seconds = 0;
+    const auto parsed = std::from_chars(found->second.data(), found->second.data() + found->second.size(), seconds);
+    const bool isSane = parsed.ec == std::errc() && seconds >= 0 && seconds <= MaxSeconds;
+    return isSane ? std::optional(std::chrono::milliseconds(std::chrono::seconds(seconds))) : std::nullopt;
+}
+
+} // namespace
+
+std::string percentEncoded(std::string_view text)
+{
+    char *encoded = evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
+    if (encoded == nullptr) {
+        return {};
+    }
+    std::string result(encoded);
+    // evhttp hands over memory of malloc.
+    std::free(encoded); // NOLINT(cppcoreguidelines-no-malloc)
+    return result;
+}
+
+Result<Json> readObject(std::string_view body)
+{
+    // The parser itself recurses only when the value is destroyed or walked; a few megabytes of '[' must not get there.
+    const auto isTooDeep = [](int depth, Json::parse_event_t /*event*/, Json & /*parsed*/) { return depth <= MaxDepth; };
+    Json parsed = Json::parse(body, isTooDeep, false);
+    if (!parsed.is_object()) {
+        return fail(ErrorCode::ProtocolError, Verdict::MayHaveRun, "the platform's answer is not a JSON object");
+    }
+    return parsed;
+}
+
+std::optional<Row> readRow(const Json &fields)
+{
+    if (!fields.is_object()) {
+        return std::nullopt;
+    }
+    const auto value = fields.find("value");
+    const auto revision = fields.find("revision");
+    const bool isWhole = value != fields.end() && value->is_string() && revision != fields.end() && revision->is_number_unsigned();
+    if (!isWhole) {
+        return std::nullopt;
+    }
+    return Row{.value = value->get<std::string>(), .revision = revision->get<std::uint64_t>()};
+}
+
+Failure unexpectedAnswer(const http::Response &response)
+{
+    const bool isOutage = response.status == StatusUnavailable || response.status == StatusTooManyRequests;
+    return Failure{
+        .code = isOutage ? ErrorCode::Unavailable : ErrorCode::ProtocolError,
+        .verdict = Verdict::MayHaveRun,
+        .detail = "the platform answered " + std::to_string(response.status),
+        .retryAfter = retryAfterOf(response),
+    };
+}
+
+Failure malformedAnswer()
+{
+    return Failure{.code = ErrorCode::ProtocolError, .verdict = Verdict::MayHaveRun, .detail = "the platform's answer is malformed", .retryAfter = {}};
+}
+
+} // namespace magnolia::platform
