--- a/libs/wire/tests/linkfixture.cpp
+++ b/libs/wire/tests/linkfixture.cpp
@@ -56,6 +56,18 @@
     return connectLink(loop.get(), listener->address(), options, logTo(dialerLog));
 }
 
+std::unique_ptr<LinkDialer> LinkFixture::dial(const std::string &address, const LinkOptions &options)
+{
+    Link::Callbacks log = logTo(dialerLog);
+    LinkDialer::Callbacks callbacks{
+        .onUp = log.onReady,
+        .onMessage = log.onMessage,
+        .onDown = log.onClosed,
+        .onPeerLost = [this](const Failure &failure) { dialerLog.losses.push_back(failure); },
+    };
+    return LinkDialer::dial(loop.get(), address, options, std::move(callbacks));
+}
+
 Link::Callbacks LinkFixture::logTo(EndLog &log)
 {
     return {
--- a/libs/wire/tests/linkfixture.h
+++ b/libs/wire/tests/linkfixture.h
@@ -34,7 +34,8 @@
 
     void listen(const LinkOptions &options);
     std::unique_ptr<Link> connect(const LinkOptions &options);
-    Link::Callbacks logTo(EndLog &log);
+    std::unique_ptr<LinkDialer> dial(const std::string &address, const LinkOptions &options);
+    static Link::Callbacks logTo(EndLog &log);
 
     struct LoopDeleter {
         void operator()(event_base *loop) const
--- /dev/null
+++ b/libs/wire/tests/linksessiontest.cpp
@@ -0,0 +1,355 @@
+#include "wire/linksession.h"
+#include "samplemessages.h"
+#include "wire/codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace magnolia::wire
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using Side = LinkSession::Side;
+using Frame = LinkSession::Frame;
+using Step = LinkSession::Step;
+
+const LinkKey OldKey{.id = "2026-11", .secret = "the old secret"};
+const LinkKey NewKey{.id = "2026-12", .secret = "the new secret"};
+
+LinkOptions optionsOf(Role role, std::vector<LinkKey> keys)
+{
+    const std::string instance = role == Role::Entry ? "entry-a" : "agent-a";
+    return {
+        .self = {.role = role, .instance = instance, .dataCentre = "north", .endpoint = "", .incarnation = 1},
+        .keys = std::move(keys),
+    };
+}
+
+LinkSession::Nonce nonceOf(std::uint8_t seed)
+{
+    LinkSession::Nonce nonce{};
+    nonce.fill(seed);
+    return nonce;
+}
+
+/** Two sessions on one clock that is moved by hand. */
+struct SessionFixture {
+    LinkSession makeSession(Side side, const LinkOptions &options, std::uint8_t nonceSeed) const
+    {
+        return {side, std::make_shared<const LinkOptions>(options), nonceOf(nonceSeed), now};
+    }
+
+    LinkSession makeDialer(std::vector<LinkKey> keys = {NewKey}, std::uint8_t nonceSeed = 1) const
+    {
+        return makeSession(Side::Dialer, optionsOf(Role::Entry, std::move(keys)), nonceSeed);
+    }
+
+    LinkSession makeListener(std::vector<LinkKey> keys = {NewKey}, std::uint8_t nonceSeed = 2) const
+    {
+        return makeSession(Side::Listener, optionsOf(Role::Agent, std::move(keys)), nonceSeed);
+    }
+
+    /** Carries frames between the two until neither answers. Keeps all frames, and the failure of the side that refused. */
+    void shakeHands(LinkSession &dialer, LinkSession &listener)
+    {
+        Step step = dialer.open(now);
+        bool fromDialer = true;
+        while (!step.frames.empty()) {
+            const Frame frame = step.frames.front();
+            (fromDialer ? dialerFrames : listenerFrames).push_back(frame);
+            step = (fromDialer ? listener : dialer).receive(frame, now);
+            fromDialer = !fromDialer;
+            if (step.failure) {
+                failure = step.failure;
+            }
+        }
+    }
+
+    MonoTime now{1h};
+    std::vector<Frame> dialerFrames;
+    std::vector<Frame> listenerFrames;
+    std::optional<Failure> failure;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LinkSessionTest, SessionFixture)
+
+BOOST_AUTO_TEST_CASE(sameKey_handshake_makesBothReady)
+{
+    LinkSession dialer = makeDialer();
+    LinkSession listener = makeListener();
+    shakeHands(dialer, listener);
+    BOOST_TEST(dialer.isReady());
+    BOOST_TEST(listener.isReady());
+    BOOST_TEST(dialer.peer().instance == "agent-a");
+    BOOST_TEST(listener.peer().instance == "entry-a");
+    for (const Frame &frame : dialerFrames) {
+        BOOST_TEST(frame.size() <= LinkSession::MaxHandshakeFrameBytes);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(keyTable_handshake_acceptsOnlyKeysValidOnBothSides)
+{
+    const LinkKey sameIdOtherSecret{.id = NewKey.id, .secret = "guessed"};
+    const LinkKey empty{.id = NewKey.id, .secret = ""};
+    struct Case {
+        std::string name;
+        std::vector<LinkKey> dialer;
+        std::vector<LinkKey> listener;
+        bool accepted;
+    };
+    const std::vector<Case> cases = {
+        {"rolling, first step at the listener", {OldKey}, {OldKey, NewKey}, true},
+        {"rolling, first step at the dialer", {OldKey, NewKey}, {OldKey}, true},
+        {"rolling, listener proves the new key", {OldKey, NewKey}, {NewKey, OldKey}, true},
+        {"rolling, dialer proves the new key", {NewKey, OldKey}, {OldKey, NewKey}, true},
+        {"rolling, last step", {NewKey}, {NewKey, OldKey}, true},
+        {"old key withdrawn at the listener", {OldKey}, {NewKey}, false},
+        {"old key withdrawn at the dialer", {NewKey}, {OldKey, NewKey}, false},
+        {"wrong secret", {sameIdOtherSecret}, {NewKey}, false},
+        {"listener with a wrong secret", {NewKey}, {sameIdOtherSecret, NewKey}, false},
+        {"empty secrets", {empty}, {empty}, false},
+        {"empty secret against a good one", {empty}, {NewKey}, false},
+        {"no keys", {}, {}, false},
+        {"no key at the dialer", {}, {NewKey}, false},
+    };
+    for (const Case &one : cases) {
+        LinkSession dialer = makeDialer(one.dialer);
+        LinkSession listener = makeListener(one.listener);
+        failure.reset();
+        shakeHands(dialer, listener);
+        BOOST_TEST((dialer.isReady() && listener.isReady()) == one.accepted, one.name);
+        if (!one.accepted) {
+            BOOST_REQUIRE_MESSAGE(failure.has_value(), one.name);
+            BOOST_TEST((failure->code == ErrorCode::Unauthorised), one.name);
+            BOOST_TEST((failure->verdict == Verdict::NotRun), one.name);
+        }
+    }
+}
+
+// Symptom: somebody without a key gets a link and may dispatch requests.
+// Sequence: a whole handshake is recorded on the network; later its dialer's frames are played to the listener again.
+// Cause: a proof that holds nothing that is fresh on the listener's side.
+BOOST_AUTO_TEST_CASE(recordedDialer_replayed_isRefused)
+{
+    LinkSession dialer = makeDialer();
+    LinkSession listener = makeListener({NewKey}, 2);
+    shakeHands(dialer, listener);
+    BOOST_REQUIRE(listener.isReady());
+
+    LinkSession later = makeListener({NewKey}, 3);
+    BOOST_TEST(!later.receive(dialerFrames[0], now).failure.has_value());
+    const Step step = later.receive(dialerFrames[1], now);
+    BOOST_REQUIRE(step.failure.has_value());
+    BOOST_TEST((step.failure->code == ErrorCode::Unauthorised));
+    BOOST_TEST(!later.isReady());
+}
+
+// As above, with the listener's frames played to a dialer.
+BOOST_AUTO_TEST_CASE(recordedListener_replayed_isRefused)
+{
+    LinkSession dialer = makeDialer({NewKey}, 1);
+    LinkSession listener = makeListener();
+    shakeHands(dialer, listener);
+
+    LinkSession later = makeDialer({NewKey}, 4);
+    later.open(now);
+    BOOST_TEST(!later.receive(listenerFrames[0], now).failure.has_value());
+    const Step step = later.receive(listenerFrames[1], now);
+    BOOST_REQUIRE(step.failure.has_value());
+    BOOST_TEST((step.failure->code == ErrorCode::Unauthorised));
+}
+
+// Symptom: a dialer takes somebody without a key for an agent, and sends him requests.
+// Sequence: he answers the dialer's hello by a challenge of his own and the dialer's proof by that same proof.
+// Cause: a proof that doesn't say which side made it.
+BOOST_AUTO_TEST_CASE(ownProof_reflected_isRefused)
+{
+    LinkSession dialer = makeDialer();
+    LinkSession stranger = makeListener({{.id = "any", .secret = "other"}});
+    const Step hello = dialer.open(now);
+    const Step challenge = stranger.receive(hello.frames.front(), now);
+    const Step proof = dialer.receive(challenge.frames.front(), now);
+    const Step step = dialer.receive(proof.frames.front(), now);
+    BOOST_REQUIRE(step.failure.has_value());
+    BOOST_TEST((step.failure->code == ErrorCode::Unauthorised));
+}
+
+// Symptom: a link whose peer is another than it says, though both know the key.
+// Sequence: something between the two changes a byte of the hello or the challenge (the incarnation, the instance).
+// Cause: a proof that covers the nonces only.
+BOOST_AUTO_TEST_CASE(anyByteOfHelloOrChallenge_changedOnTheWay_neverMakesBothReady)
+{
+    LinkSession unchanged = makeDialer();
+    const std::size_t size = unchanged.open(now).frames.front().size();
+    for (std::size_t at = 0; at < size; ++at) {
+        LinkSession dialer = makeDialer();
+        LinkSession listener = makeListener();
+        Frame hello = dialer.open(now).frames.front();
+        hello[at] ^= 1U;
+        const Step challenge = listener.receive(hello, now);
+        if (challenge.failure) {
+            continue;
+        }
+        const Step proof = dialer.receive(challenge.frames.front(), now);
+        BOOST_REQUIRE(!proof.frames.empty());
+        BOOST_TEST(listener.receive(proof.frames.front(), now).failure.has_value(), "byte " << at);
+        BOOST_TEST(!listener.isReady());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(otherProtocolVersion_hello_isRefusedWithItsNumber)
+{
+    LinkSession dialer = makeDialer();
+    LinkSession listener = makeListener();
+    Frame hello = dialer.open(now).frames.front();
+    const std::string field = "bpv"; // a text of two bytes, then the version in one byte
+    const auto found = std::search(hello.begin(), hello.end(), field.begin(), field.end());
+    BOOST_REQUIRE((found != hello.end()));
+    *(found + static_cast<std::ptrdiff_t>(field.size())) = 2;
+    const Step step = listener.receive(hello, now);
+    BOOST_REQUIRE(step.failure.has_value());
+    BOOST_TEST((step.failure->code == ErrorCode::ProtocolError));
+    BOOST_TEST(step.failure->detail.find("version 2") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(frameTable_beforeTheHandshakeIsDone_isRefused)
+{
+    LinkSession dialer = makeDialer();
+    const Frame hello = dialer.open(now).frames.front();
+    struct Case {
+        std::string name;
+        Frame frame;
+        ErrorCode code;
+    };
+    const std::vector<Case> cases = {
+        {"a message", encode(sampleChunk()), ErrorCode::ProtocolError},
+        {"a heartbeat", {}, ErrorCode::BadInput},
+        {"garbage", {0xff, 0x00, 0x13}, ErrorCode::BadInput},
+        {"oversize", Frame(LinkSession::MaxHandshakeFrameBytes + 1, 0x40), ErrorCode::TooLarge},
+        {"a hello cut off", Frame(hello.begin(), hello.end() - 1), ErrorCode::BadInput},
+    };
+    for (const Case &one : cases) {
+        LinkSession atHello = makeListener();
+        const Step first = atHello.receive(one.frame, now);
+        BOOST_REQUIRE_MESSAGE(first.failure.has_value(), one.name);
+        BOOST_TEST((first.failure->code == one.code), one.name);
+        BOOST_TEST(!first.message.has_value(), one.name);
+
+        LinkSession atProof = makeListener();
+        atProof.receive(hello, now);
+        const Step second = atProof.receive(one.frame, now);
+        BOOST_REQUIRE_MESSAGE(second.failure.has_value(), one.name);
+        BOOST_TEST((second.failure->code == one.code), one.name);
+        BOOST_TEST(!atProof.receive(encode(sampleChunk()), now).message.has_value(), one.name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(unfinishedHandshake_timeout_isRefusedWhateverArrives)
+{
+    LinkSession listener = makeListener();
+    listener.noteHeard(now + 1999ms);
+    BOOST_TEST(!listener.tick(now + 1999ms).failure.has_value());
+    BOOST_TEST((listener.nextTick() == now + 2000ms));
+    const Step step = listener.tick(now + 2000ms);
+    BOOST_REQUIRE(step.failure.has_value());
+    BOOST_TEST((step.failure->verdict == Verdict::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(idleLink_heartbeats_keepItAlive)
+{
+    LinkSession dialer = makeDialer();
+    LinkSession listener = makeListener();
+    shakeHands(dialer, listener);
+    for (int i = 0; i < 100; ++i) {
+        now += 500ms;
+        const Step fromDialer = dialer.tick(now);
+        const Step fromListener = listener.tick(now);
+        BOOST_REQUIRE(fromDialer.frames.size() == 1);
+        BOOST_TEST(fromDialer.frames.front().empty());
+        BOOST_TEST(!dialer.receive(fromListener.frames.at(0), now).failure.has_value());
+        BOOST_TEST(!listener.receive(fromDialer.frames.at(0), now).failure.has_value());
+    }
+    BOOST_TEST(dialer.isReady());
+}
+
+BOOST_AUTO_TEST_CASE(busyLink_ticks_sendNoHeartbeats)
+{
+    LinkSession dialer = makeDialer();
+    LinkSession listener = makeListener();
+    shakeHands(dialer, listener);
+    for (int i = 0; i < 20; ++i) {
+        now += 400ms;
+        dialer.noteSent(now);
+        dialer.noteHeard(now);
+        BOOST_TEST(dialer.tick(now).frames.empty());
+    }
+}
+
+// Symptom: requests go into a link that looks open and never come back.
+// Sequence: something between the two ends loses track of the connection; no FIN or RST ever arrives.
+// Cause: trust in TCP to report the loss.
+BOOST_AUTO_TEST_CASE(silentPeer_timeout_endsTheLinkAsMayHaveRun)
+{
+    LinkSession dialer = makeDialer();
+    LinkSession listener = makeListener();
+    shakeHands(dialer, listener);
+    const MonoTime start = now;
+    BOOST_TEST(!dialer.tick(start + 1999ms).failure.has_value());
+    BOOST_TEST((dialer.nextTick() == start + 2000ms));
+    const Step step = dialer.tick(start + 2000ms);
+    BOOST_REQUIRE(step.failure.has_value());
+    BOOST_TEST((step.failure->code == ErrorCode::ConnectionLost));
+    BOOST_TEST((step.failure->verdict == Verdict::MayHaveRun));
+    BOOST_TEST(!dialer.isReady());
+    BOOST_TEST(dialer.tick(start + 1h).frames.empty());
+}
+
+// Symptom: a large chunk of a manifest never gets through a slow line: the link is closed for silence again and again.
+// Sequence: one frame takes longer than the silence timeout to arrive, piece by piece.
+// Cause: only whole frames counted as signs of life.
+BOOST_AUTO_TEST_CASE(longFrame_arrivingInPieces_isNoSilence)
+{
+    LinkSession dialer = makeDialer();
+    LinkSession listener = makeListener();
+    shakeHands(dialer, listener);
+    for (int i = 0; i < 10; ++i) {
+        now += 1s;
+        dialer.noteHeard(now);
+        BOOST_TEST(!dialer.tick(now).failure.has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(readyLink_unknownMessageType_isIgnored)
+{
+    LinkSession dialer = makeDialer();
+    LinkSession listener = makeListener();
+    shakeHands(dialer, listener);
+    const Frame unknown{0xa1, 0x61, 't', 0x18, 0xc8}; // {"t": 200}
+    const Step step = dialer.receive(unknown, now);
+    BOOST_TEST(!step.failure.has_value());
+    BOOST_TEST(!step.message.has_value());
+    BOOST_TEST(dialer.receive(encode(sampleChunk()), now).message.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(readyLink_malformedMessage_endsTheLink)
+{
+    LinkSession dialer = makeDialer();
+    LinkSession listener = makeListener();
+    shakeHands(dialer, listener);
+    const Step step = dialer.receive(Frame{0xff}, now);
+    BOOST_REQUIRE(step.failure.has_value());
+    BOOST_TEST((step.failure->code == ErrorCode::BadInput));
+    BOOST_TEST((step.failure->verdict == Verdict::MayHaveRun));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace magnolia::wire
