Let idle links need fewer segments; fuzz and measure the protocol

Cause: at the target an agent has up to 420 links; 52 bytes of headers on each segment outweigh a heartbeat of 2 or 6 bytes. Both sides began to count at the same moment, so that their heartbeats crossed and each was acknowledged by itself. Now whatever arrives is answered by a heartbeat that is due within half an interval, and the listener waits a quarter longer by itself.

--- /dev/null
+++ b/libs/wire/fuzz/sessionfuzzer.cpp
@@ -0,0 +1,10 @@
+#include "sessioncheck.h"
+
+#include <cstddef>
+
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer gives the name
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    magnolia::wire::checkSession({data, size});
+    return 0;
+}
--- a/libs/wire/include/wire/linksession.h
+++ b/libs/wire/include/wire/linksession.h
@@ -97,6 +97,8 @@
     Step takeDialerProof(std::span<const std::uint8_t> frame);
     Step takeListenerProof(std::span<const std::uint8_t> frame);
     Step takeMessage(std::span<const std::uint8_t> frame);
+    MonoTime nextHeartbeat() const;
+    Step addHeartbeat(Step step, MonoTime now);
     std::optional<Failure> readIntroduction(std::span<const std::uint8_t> frame, std::uint8_t type);
     std::optional<Failure> checkProof(std::span<const std::uint8_t> frame, Side prover) const;
     std::optional<Frame> prove() const;
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -66,17 +66,23 @@
     std::uint32_t promptTokens = 0; ///< Estimate, for admission.
     std::string traceparent; ///< W3C trace context of the sending span.
     std::uint64_t manifestVersion = 0; ///< The version that the entry decided under.
+
+    bool operator==(const Dispatch &) const = default;
 };
 
 /** Entry to agent: stop this attempt; its answer is no longer wanted. Leaves a tombstone if the attempt is unknown. */
 struct Cancel {
     AttemptId id;
+
+    bool operator==(const Cancel &) const = default;
 };
 
 /** Entry to agent, over a fresh link: what became of this attempt? Leaves a tombstone if it is unknown. */
 struct Query {
     AttemptId id;
     Incarnation incarnation = 0;
+
+    bool operator==(const Query &) const = default;
 };
 
 /** Agent to entry: the answer to a Query. */
@@ -85,12 +91,16 @@
     Incarnation incarnation = 0; ///< The agent's present one.
     Verdict verdict = Verdict::MayHaveRun;
     bool running = false; ///< The attempt is still queued or running; its chunks can be asked for by Attach.
+
+    bool operator==(const QueryAnswer &) const = default;
 };
 
 /** Entry to agent, over a fresh link: send the chunks of this attempt from an index on, and its end, over this link. */
 struct Attach {
     AttemptId id;
     std::uint32_t fromChunk = 0;
+
+    bool operator==(const Attach &) const = default;
 };
 
 /** Agent to entry: a piece of the answer. Chunks have consecutive indices from Dispatch::resumeAfter on. */
@@ -98,6 +108,8 @@
     AttemptId id;
     std::uint32_t index = 0;
     std::string data; ///< For a model: one server-sent event's data. For a service: bytes of the body.
+
+    bool operator==(const Chunk &) const = default;
 };
 
 /** Agent to entry: the attempt has ended; exactly one for each attempt. */
@@ -111,6 +123,8 @@
     Duration retryAfter{0}; ///< 0: none.
     std::uint32_t chunks = 0; ///< Index after the last chunk, to prove that the answer is whole.
     bool replayed = false; ///< The stored answer of an earlier run under the same idempotency key.
+
+    bool operator==(const Finish &) const = default;
 };
 
 /** Agent to entry, about once a second and after each change of state: the endpoint's load. */
@@ -127,23 +141,31 @@
     bool serving = false; ///< The endpoint answers and has what the manifest wants.
     std::vector<std::string> loaded; ///< "model", "model@version" or "model/adapter@version" that it serves now.
     std::uint64_t manifestVersion = 0; ///< In force at the agent.
+
+    bool operator==(const LoadReport &) const = default;
 };
 
 /** Both ways: the highest manifest version that the sender has in force. */
 struct ManifestHead {
     std::uint64_t version = 0;
     std::string root; ///< Content hash of the root chunk.
+
+    bool operator==(const ManifestHead &) const = default;
 };
 
 /** Both ways: please send this chunk. */
 struct ChunkRequest {
     std::string hash;
+
+    bool operator==(const ChunkRequest &) const = default;
 };
 
 /** Both ways: the answer to a ChunkRequest; empty data if the sender has it not. */
 struct ChunkData {
     std::string hash;
     std::string data;
+
+    bool operator==(const ChunkData &) const = default;
 };
 
 /** Agent to agent: a message of the expert map's switch protocol; its fields are defined in libs/experts. */
@@ -158,6 +180,8 @@
     std::uint8_t kind = 0; ///< experts::SwitchKind
     std::uint64_t step = 0;
     std::string payload; ///< The encoded map, where the kind carries one.
+
+    bool operator==(const SwitchMessage &) const = default;
 };
 
 using Message = std::variant<Dispatch, Cancel, Query, QueryAnswer, Attach, Chunk, Finish, LoadReport, ManifestHead, ChunkRequest, ChunkData, SwitchMessage>;
--- a/libs/wire/src/linksession.cpp
+++ b/libs/wire/src/linksession.cpp
@@ -47,7 +47,7 @@
     case State::AwaitListenerProof:
         return takeListenerProof(frame);
     case State::Ready:
-        return takeMessage(frame);
+        return addHeartbeat(takeMessage(frame), now);
     case State::Dead:
         break;
     }
@@ -66,7 +66,7 @@
         return die(ErrorCode::ConnectionLost, "the peer fell silent");
     }
     Step step;
-    if (now >= lastSent_ + options_->heartbeatInterval) {
+    if (now >= nextHeartbeat()) {
         step.frames.emplace_back();
         noteSent(now);
     }
@@ -89,7 +89,7 @@
     case State::Dead:
         return MonoTime::max();
     case State::Ready:
-        return std::min(lastHeard_ + options_->silenceTimeout, lastSent_ + options_->heartbeatInterval);
+        return std::min(lastHeard_ + options_->silenceTimeout, nextHeartbeat());
     default:
         return opened_ + options_->handshakeTimeout;
     }
@@ -171,6 +171,25 @@
     return step;
 }
 
+// A heartbeat that is due before long is sent as soon as something arrives, so that it carries the acknowledgement which the
+// kernel would otherwise send in a segment of its own: a segment's headers are ten times the size of a heartbeat. Both
+// sides begin to count at the same moment, so that without the listener's grace their heartbeats would cross for ever, each
+// acknowledged by itself: four segments for an exchange in place of three.
+MonoTime LinkSession::nextHeartbeat() const
+{
+    const Duration grace = side_ == Side::Listener ? options_->heartbeatInterval / 4 : Duration::zero();
+    return lastSent_ + options_->heartbeatInterval + grace;
+}
+
+LinkSession::Step LinkSession::addHeartbeat(Step step, MonoTime now)
+{
+    if (state_ == State::Ready && now >= lastSent_ + options_->heartbeatInterval / 2) {
+        step.frames.emplace_back();
+        noteSent(now);
+    }
+    return step;
+}
+
 LinkSession::Step LinkSession::takeMessage(std::span<const std::uint8_t> frame)
 {
     if (frame.empty()) {
--- a/libs/wire/tests/codectest.cpp
+++ b/libs/wire/tests/codectest.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <functional>
 #include <string>
 #include <vector>
@@ -93,6 +94,23 @@
     return Bytes(count, byte);
 }
 
+/** A map whose one member is named "t" and has these bytes for its value. */
+Bytes afterTypeName(Bytes value)
+{
+    constexpr std::array<std::uint8_t, 3> Opening{0xa1, 0x61, 't'};
+    value.insert(value.begin(), Opening.begin(), Opening.end());
+    return value;
+}
+
+/** A good message but for its index, which is there twice. */
+Bytes withRepeatedField()
+{
+    Bytes frame = encode(sampleChunk());
+    ++frame.front(); // the number of members, in the low bits
+    frame.insert(frame.end(), {0x61, 'i', 0x01});
+    return frame;
+}
+
 // Initial bytes by RFC 8949: 0xa0 map, 0x80 array, 0x60 text, 0x40 bytes, 0xc0 tag; the low five bits are the length.
 std::vector<RawCase> rawCases()
 {
@@ -111,10 +129,10 @@
         {"reserved length", {0xa1, 0x61, 't', 0x1c}},
         {"tagged value", {0xa1, 0x61, 't', 0xc1, 0x02}},
         {"map of indefinite length", {0xbf, 0x61, 't', 0x02, 0xff}},
-        {"field given twice", {0xa2, 0x61, 't', 0x02, 0x61, 't', 0x02}},
-        {"a million nested lists", repeated(0x81, Million)},
-        {"a million nested maps", repeated(0xa1, Million)},
-        {"a million nested tags", repeated(0xc1, Million)},
+        {"field given twice", withRepeatedField()},
+        {"a million nested lists", afterTypeName(repeated(0x81, Million))},
+        {"a million nested maps", afterTypeName(repeated(0xa1, Million))},
+        {"a million nested tags", afterTypeName(repeated(0xc1, Million))},
     };
 }
 
@@ -128,35 +146,10 @@
         const auto frame = encode(message);
         const auto decoded = decode(frame);
         BOOST_REQUIRE_MESSAGE(decoded.has_value(), decoded.error().detail);
-        BOOST_TEST(decoded->index() == message.index());
-        BOOST_TEST(encode(*decoded) == frame);
+        BOOST_TEST((*decoded == message));
     }
 }
 
-BOOST_AUTO_TEST_CASE(dispatch_encodedAndDecoded_keepsItsFields)
-{
-    const Dispatch sent = sampleDispatch();
-    const auto decoded = decode(encode(sent));
-    BOOST_REQUIRE(decoded.has_value());
-    const auto &got = std::get<Dispatch>(*decoded);
-    BOOST_TEST((got.id == sent.id));
-    BOOST_TEST(got.organisation == sent.organisation);
-    BOOST_TEST((got.priorityClass == sent.priorityClass));
-    BOOST_TEST(got.weight == sent.weight);
-    BOOST_TEST(got.adapter == sent.adapter);
-    BOOST_TEST(got.version == sent.version);
-    BOOST_TEST(got.path == sent.path);
-    BOOST_TEST((got.headers == sent.headers));
-    BOOST_TEST(got.body == sent.body);
-    BOOST_TEST(got.stream);
-    BOOST_TEST(!got.idempotent);
-    BOOST_TEST(got.idempotencyKey == sent.idempotencyKey);
-    BOOST_TEST(got.resumeAfter == sent.resumeAfter);
-    BOOST_TEST((got.timeLeft == sent.timeLeft));
-    BOOST_TEST(got.traceparent == sent.traceparent);
-    BOOST_TEST(got.manifestVersion == sent.manifestVersion);
-}
-
 BOOST_AUTO_TEST_CASE(spoiltField_decoded_isBadInput)
 {
     for (SpoiltCase &spoilt : spoiltCases()) {
@@ -187,9 +180,7 @@
 BOOST_AUTO_TEST_CASE(stringOfIndefiniteLength_decoded_isBadInput)
 {
     for (const std::uint8_t opening : {std::uint8_t{0x7f}, std::uint8_t{0x5f}}) {
-        Bytes frame{0xa1, 0x61, 't'};
-        frame.resize(1'000'000, opening);
-        const auto decoded = decode(frame);
+        const auto decoded = decode(afterTypeName(repeated(opening, 1'000'000)));
         BOOST_REQUIRE(!decoded.has_value());
         BOOST_TEST((decoded.error().code == ErrorCode::BadInput));
     }
@@ -219,7 +210,7 @@
     fields["later"] = 1.5;
     const auto decoded = decode(Json::to_cbor(fields));
     BOOST_REQUIRE(decoded.has_value());
-    BOOST_TEST(encode(*decoded) == encode(sampleLoadReport()));
+    BOOST_TEST((*decoded == Message(sampleLoadReport())));
 }
 
 BOOST_AUTO_TEST_CASE(unknownType_decoded_isNotFound)
--- a/libs/wire/tests/linksessiontest.cpp
+++ b/libs/wire/tests/linksessiontest.cpp
@@ -270,14 +270,48 @@
     shakeHands(dialer, listener);
     for (int i = 0; i < 100; ++i) {
         now += 500ms;
-        const Step fromDialer = dialer.tick(now);
-        const Step fromListener = listener.tick(now);
-        BOOST_REQUIRE(fromDialer.frames.size() == 1);
-        BOOST_TEST(fromDialer.frames.front().empty());
-        BOOST_TEST(!dialer.receive(fromListener.frames.at(0), now).failure.has_value());
-        BOOST_TEST(!listener.receive(fromDialer.frames.at(0), now).failure.has_value());
+        const Step beat = dialer.tick(now);
+        BOOST_REQUIRE(beat.frames.size() == 1);
+        BOOST_TEST(beat.frames.front().empty());
+        const Step answer = listener.receive(beat.frames.front(), now);
+        BOOST_REQUIRE(answer.frames.size() == 1);
+        BOOST_TEST(!dialer.receive(answer.frames.front(), now).failure.has_value());
+        BOOST_TEST(listener.tick(now).frames.empty());
+        BOOST_TEST((dialer.nextTick() < listener.nextTick())); // so that the next beat is the dialer's again
     }
     BOOST_TEST(dialer.isReady());
+    BOOST_TEST(listener.isReady());
+}
+
+// Symptom: an idle link takes all the network it can get.
+// Sequence: each side answers the other's heartbeat at once.
+// Cause: heartbeats that are answered without regard to when the last one was sent.
+BOOST_AUTO_TEST_CASE(heartbeat_soonAfterOwn_isNotAnswered)
+{
+    LinkSession dialer = makeDialer();
+    LinkSession listener = makeListener();
+    shakeHands(dialer, listener);
+    now += 500ms;
+    const Step beat = dialer.tick(now);
+    const Step answer = listener.receive(beat.frames.front(), now);
+    BOOST_TEST(dialer.receive(answer.frames.front(), now).frames.empty());
+    BOOST_TEST(listener.receive(Frame{}, now + 249ms).frames.empty());
+    BOOST_TEST(listener.receive(Frame{}, now + 250ms).frames.size() == 1U);
+}
+
+// Symptom: a link whose other direction is dead stays open, since this side sends.
+// Sequence: this side sends messages all the time and hears nothing.
+BOOST_AUTO_TEST_CASE(silentPeer_whileThisSideSends_endsTheLink)
+{
+    LinkSession dialer = makeDialer();
+    LinkSession listener = makeListener();
+    shakeHands(dialer, listener);
+    for (int i = 0; i < 19; ++i) {
+        now += 100ms;
+        dialer.noteSent(now);
+        BOOST_TEST(!dialer.tick(now).failure.has_value());
+    }
+    BOOST_TEST(dialer.tick(now + 100ms).failure.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(busyLink_ticks_sendNoHeartbeats)
--- a/libs/wire/tests/linktest.cpp
+++ b/libs/wire/tests/linktest.cpp
@@ -1,7 +1,6 @@
 #include "linkfixture.h"
 #include "relay.h"
 #include "samplemessages.h"
-#include "wire/codec.h"
 
 #include <boost/test/unit_test.hpp>
 #include <event2/bufferevent.h>
@@ -64,8 +63,8 @@
     }
     BOOST_REQUIRE(runUntil([&] { return dialerLog.messages.size() == samples.size() && listenerLog.messages.size() == samples.size(); }));
     for (std::size_t i = 0; i < samples.size(); ++i) {
-        BOOST_TEST(encode(dialerLog.messages[i]) == encode(samples[i]));
-        BOOST_TEST(encode(listenerLog.messages[i]) == encode(samples[i]));
+        BOOST_TEST((dialerLog.messages[i] == samples[i]));
+        BOOST_TEST((listenerLog.messages[i] == samples[i]));
     }
 }
 
@@ -126,6 +125,7 @@
         upgrade + std::string("\x81\x81\x00\x00\x00\x00x", 7), // a text frame
     };
     std::vector<BufferEventPtr> sockets;
+    sockets.reserve(strangers.size());
     for (const std::string &bytes : strangers) {
         sockets.push_back(sendRaw(loop.get(), listener->address(), bytes));
     }
