--- a/libs/manifest/include/manifest/assembly.h
+++ b/libs/manifest/include/manifest/assembly.h
@@ -33,8 +33,11 @@
         Digest root;
     };
 
-    /** @param earlier a version to take unchanged chunks from; may be null. */
-    explicit Assembly(const Target &target, ManifestIndex::Pointer earlier = nullptr);
+    /**
+     * @param earlier a version to take unchanged chunks from; may be null.
+     * @param unfinished an assembly that is given up for this one, and whose chunks are taken over; may be null.
+     */
+    explicit Assembly(const Target &target, ManifestIndex::Pointer earlier = nullptr, const Assembly *unfinished = nullptr);
     ~Assembly();
     Assembly(Assembly &&) noexcept;
     Assembly &operator=(Assembly &&) noexcept;
@@ -44,6 +47,9 @@
     /** @return the chunks known to be lacking; more may turn up once these are here. */
     std::vector<Digest> missing() const;
 
+    /** @return those of missing() that no earlier call has returned. */
+    std::vector<Digest> takeDiscovered();
+
     /**
      * Takes a chunk; one that is not missing is ignored. Fails with ProtocolError if its bytes do not fit the hash, so
      * that another source may have it, and with BadInput or TooLarge if the manifest itself is broken.
--- a/libs/manifest/src/assembly.cpp
+++ b/libs/manifest/src/assembly.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace magnolia::manifest
 {
@@ -41,8 +42,10 @@
 struct Assembly::Parts {
     Target target;
     ManifestIndex::Pointer earlier;
+    ChunkMap spare; ///< Of an unfinished assembly.
     ChunkMap chunks;
     std::unordered_map<Digest, std::size_t> missing; ///< With the kind that it must have.
+    std::vector<Digest> discovered; ///< Those of missing that nobody has been told of.
 
     // Takes a chunk over from the earlier version, or notes that it is lacking. Fails if it is there with another kind.
     Result<void> want(const Digest &hash, std::size_t kind)
@@ -56,8 +59,13 @@
                 return accept(hash, reused->second, kind);
             }
         }
+        if (const auto reused = spare.find(hash); reused != spare.end()) {
+            return accept(hash, reused->second, kind);
+        }
         const auto [entry, isNew] = missing.emplace(hash, kind);
-        if (!isNew && entry->second != kind) {
+        if (isNew) {
+            discovered.push_back(hash);
+        } else if (entry->second != kind) {
             return broken("one chunk stands for two kinds");
         }
         return {};
@@ -245,10 +253,16 @@
     }
 };
 
-Assembly::Assembly(const Target &target, ManifestIndex::Pointer earlier)
-    : parts_(std::make_unique<Parts>(Parts{.target = target, .earlier = std::move(earlier), .chunks = {}, .missing = {}}))
+Assembly::Assembly(const Target &target, ManifestIndex::Pointer earlier, const Assembly *unfinished) : parts_(std::make_unique<Parts>())
 {
+    parts_->target = target;
+    parts_->earlier = std::move(earlier);
+    if (unfinished != nullptr) {
+        parts_->spare = unfinished->parts_->chunks;
+        parts_->spare.insert(unfinished->parts_->spare.begin(), unfinished->parts_->spare.end());
+    }
     parts_->missing.emplace(target.root, Kind::Root);
+    parts_->discovered.push_back(target.root);
 }
 
 Assembly::~Assembly() = default;
@@ -271,6 +285,11 @@
     return hashes;
 }
 
+std::vector<Digest> Assembly::takeDiscovered()
+{
+    return std::exchange(parts_->discovered, {});
+}
+
 Result<void> Assembly::add(const Digest &hash, std::string_view data)
 {
     const auto wanted = parts_->missing.find(hash);
