experts: check the switch exhaustively, and mend two splits that the check found

The checker runs the real SwitchRank, SwitchCoordinator and EpochCoordinator over every order of events of small groups: messages and orders stay on their way for ever, so that each may be lost, late, doubled or out of order; agents and engines restart. It found two sequences in which two ranks ran one step on two maps: - a rank forgot that its own order to hold was on its way, once a late copy of an older order had taken the ballot's place, and said no. SwitchRank now remembers the highest map that it has ordered; - a map was committed before a slow rank had begun the hold step of the one before, and took its place in that engine. The engine now tells that a committed map is pending (GET /control/experts, additive), and no next map is taken then.

--- a/libs/experts/include/experts/epochcoordinator.h
+++ b/libs/experts/include/experts/epochcoordinator.h
@@ -45,7 +45,7 @@
         MapNumber map = 0;
         bool hasJoined = false;
 
-        auto operator<=>(const Member &) const = default;
+        auto operator<=>(const Member &) const = default; // NOLINT(modernize-use-nullptr)
     };
 
     /** All that changes. */
@@ -55,7 +55,7 @@
         Step firstStep = 1;
         std::vector<Member> members;
 
-        auto operator<=>(const State &) const = default; // NOLINT(modernize-use-nullptr): wrong for a defaulted comparison of vectors
+        auto operator<=>(const State &) const = default; // NOLINT(modernize-use-nullptr)
     };
 
     explicit EpochCoordinator(Options options);
--- a/libs/experts/include/experts/switchcoordinator.h
+++ b/libs/experts/include/experts/switchcoordinator.h
@@ -56,7 +56,7 @@
         bool votedYes = false;
         bool hasApplied = false;
 
-        auto operator<=>(const Member &) const = default;
+        auto operator<=>(const Member &) const = default; // NOLINT(modernize-use-nullptr)
     };
 
     /** All that changes; a value, so that a checker can compare and restore it. */
@@ -67,7 +67,7 @@
         Step holdStep = 0;
         std::vector<Member> members; ///< By rank.
 
-        auto operator<=>(const State &) const = default; // NOLINT(modernize-use-nullptr): wrong for a defaulted comparison of vectors
+        auto operator<=>(const State &) const = default; // NOLINT(modernize-use-nullptr)
     };
 
     explicit SwitchCoordinator(Options options);
--- a/libs/experts/include/experts/switchprotocol.h
+++ b/libs/experts/include/experts/switchprotocol.h
@@ -34,23 +34,26 @@
     Joined, ///< Rank to coordinator: the engine has joined.
 };
 
+// clang-tidy 14 takes the zero of a defaulted three-way comparison for a null pointer; hence the marks below.
+
 /** A map that an engine holds for. */
 struct PreparedMap {
     MapNumber map = 0;
     Step holdStep = 0;
 
-    auto operator<=>(const PreparedMap &) const = default;
+    auto operator<=>(const PreparedMap &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** What an engine tells of itself (GET /control/experts). */
 struct EngineState {
     Epoch epoch = 0; ///< 0: it has not joined any since it started.
     MapNumber map = 0; ///< The last one committed or joined with; in use, or from its hold step on.
+    bool isMapPending = false; ///< The map is committed, but its hold step has not begun yet.
     Step step = 0; ///< The last step that it has begun.
     std::optional<PreparedMap> prepared;
     std::vector<MapNumber> loaded; ///< Rising.
 
-    auto operator<=>(const EngineState &) const = default;
+    auto operator<=>(const EngineState &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 enum class EngineOrderKind : std::uint8_t {
@@ -70,7 +73,7 @@
     Step step = 0; ///< Prepare: the hold step. Join: the first step.
     std::string payload; ///< Load, Join: ExpertMap::encode()
 
-    auto operator<=>(const EngineOrder &) const = default;
+    auto operator<=>(const EngineOrder &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 using SwitchAction = std::variant<wire::SwitchMessage, EngineOrder>;
@@ -80,8 +83,11 @@
 struct SwitchRules {
     static constexpr bool IncarnationChecked = true; ///< Only the incarnation addressed by Prepare may order it.
     static constexpr bool RefusalRemembered = true; ///< An incarnation that refused never votes yes.
+    static constexpr bool OrderRemembered = true; ///< An incarnation that gave the order waits for what becomes of it.
     static constexpr bool VoteReadFromEngine = true; ///< Yes is said only when the engine is seen to hold.
     static constexpr bool SuccessorWaits = true; ///< Without fencing a successor says no only once the step has begun.
+    static constexpr bool NumberChecked = true; ///< No yes for a map once a higher number has been seen.
+    static constexpr bool OneMapAhead = true; ///< No next map before the last one committed is in use.
     static constexpr bool EpochChecked = true; ///< Messages of another epoch are dropped.
     static constexpr bool UnanimityNeeded = true; ///< Commit needs every rank's yes.
 };
--- a/libs/experts/include/experts/switchrank.h
+++ b/libs/experts/include/experts/switchrank.h
@@ -52,12 +52,12 @@
     struct Ballot {
         MapNumber map = 0; ///< 0: none.
         Step holdStep = 0;
-        bool ordered = false; ///< This incarnation has told its engine to hold.
+        bool ordered = false; ///< This incarnation may have told its engine to hold.
         Outcome outcome = Outcome::Undecided;
         std::vector<Rank> yesVotes; ///< Other ranks known to hold, rising; gathered while in doubt.
         std::vector<Rank> askers; ///< Ranks that wait for this rank's vote, rising.
 
-        auto operator<=>(const Ballot &) const = default;
+        auto operator<=>(const Ballot &) const = default; // NOLINT(modernize-use-nullptr)
     };
 
     /** A rank that waits for an answer about a map or an epoch. */
@@ -66,7 +66,7 @@
         Epoch epoch = 0;
         MapNumber map = 0;
 
-        auto operator<=>(const Request &) const = default;
+        auto operator<=>(const Request &) const = default; // NOLINT(modernize-use-nullptr)
     };
 
     /** All that changes; a value, so that a checker can compare and restore it. */
@@ -76,12 +76,13 @@
         EngineState engine; ///< As last read.
         MapNumber highest = 0; ///< Highest map number seen.
         MapNumber refusedUpTo = 0; ///< No map up to this number will get a yes that it has not got yet.
+        MapNumber orderedUpTo = 0; ///< Highest map that this incarnation told its engine to hold for.
         Ballot ballot;
         std::optional<Request> loading; ///< To be answered Ready.
         std::optional<Request> inquiry; ///< To be answered State.
         std::optional<Request> joining; ///< To be answered Joined.
 
-        auto operator<=>(const State &) const = default;
+        auto operator<=>(const State &) const = default; // NOLINT(modernize-use-nullptr)
     };
 
     explicit SwitchRank(Options options);
@@ -124,6 +125,8 @@
     bool isOfThisEpoch(const wire::SwitchMessage &message) const;
     bool adoptBallot(MapNumber map, Step holdStep);
     bool canHold() const;
+    bool isMapPending() const;
+    Ballot newBallot(MapNumber map, Step holdStep) const;
     bool isOpen() const;
     bool isPrepared() const;
     bool isResolved() const;
--- a/libs/experts/src/switchrankimpl.h
+++ b/libs/experts/src/switchrankimpl.h
@@ -106,7 +106,7 @@
     state_.highest = std::max(state_.highest, engine.map);
     if (engine.prepared && engine.prepared->map != state_.ballot.map) {
         // The vote lives in the engine: whoever gave the order, this rank has to see it through.
-        state_.ballot = Ballot{.map = engine.prepared->map, .holdStep = engine.prepared->holdStep, .ordered = false, .yesVotes = {}, .askers = {}};
+        state_.ballot = newBallot(engine.prepared->map, engine.prepared->holdStep);
         state_.highest = std::max(state_.highest, engine.prepared->map);
     }
     learnOutcome();
@@ -126,7 +126,7 @@
     if (!isBusy()) {
         return actions;
     }
-    if (isOpen() && !isPrepared()) {
+    if (isOpen() && !isPrepared() && state_.ballot.map == state_.orderedUpTo) {
         order(EngineOrderKind::Prepare, actions);
     }
     orderOutcome(actions);
@@ -171,7 +171,7 @@
 void SwitchRank<Rules>::receiveLoad(const wire::SwitchMessage &message, SwitchActions &actions)
 {
     const bool isOld = message.map < state_.highest || message.map <= state_.engine.map || message.map <= state_.refusedUpTo;
-    if (!isOfThisEpoch(message) || isOld || isOpen() || isPrepared()) {
+    if (!isOfThisEpoch(message) || isOld || isOpen() || isPrepared() || isMapPending()) {
         return;
     }
     state_.highest = message.map;
@@ -198,6 +198,7 @@
         const bool isUndecided = state_.ballot.outcome == Outcome::Undecided && !isPrepared();
         if (isUndecided && isAddressed && (state_.ballot.ordered || canHold())) {
             state_.ballot.ordered = true;
+            state_.orderedUpTo = std::max(state_.orderedUpTo, message.map);
             order(EngineOrderKind::Prepare, actions);
         } else if (isUndecided && (isAddressed || mayRefuseForPredecessor())) {
             refuseBallot();
@@ -298,18 +299,36 @@
     if (isOpen() || isPrepared()) {
         return false;
     }
-    state_.ballot = Ballot{.map = map, .holdStep = holdStep, .ordered = false, .yesVotes = {}, .askers = {}};
+    state_.ballot = newBallot(map, holdStep);
     learnOutcome();
     return true;
 }
 
+// A ballot may come back after another one: an engine that holds for an older map, by a late copy of an order, puts that
+// one first. What this incarnation has ordered has to outlast that, or it would say no with its own order on the way.
+template<typename Rules>
+typename SwitchRank<Rules>::Ballot SwitchRank<Rules>::newBallot(MapNumber map, Step holdStep) const
+{
+    const bool ordered = Rules::OrderRemembered && map <= state_.orderedUpTo;
+    return Ballot{.map = map, .holdStep = holdStep, .ordered = ordered, .outcome = Outcome::Undecided, .yesVotes = {}, .askers = {}};
+}
+
 template<typename Rules>
 bool SwitchRank<Rules>::canHold() const
 {
     const Ballot &ballot = state_.ballot;
     const bool isLoaded = std::binary_search(state_.engine.loaded.begin(), state_.engine.loaded.end(), ballot.map);
-    const bool isCurrent = ballot.map >= state_.highest && state_.engine.step < ballot.holdStep;
-    return isLoaded && isCurrent && !state_.engine.prepared && !state_.isRefusing;
+    const bool isLatest = !Rules::NumberChecked || ballot.map >= state_.highest;
+    const bool isCurrent = isLatest && state_.engine.step < ballot.holdStep;
+    return isLoaded && isCurrent && !state_.engine.prepared && !isMapPending() && !state_.isRefusing;
+}
+
+// An engine keeps one committed map beside the one in use. A second one, committed before the first one's hold step has
+// begun at this rank, would take its place, and the steps between the two would run on different maps.
+template<typename Rules>
+bool SwitchRank<Rules>::isMapPending() const
+{
+    return Rules::OneMapAhead && state_.engine.isMapPending;
 }
 
 // The engine may come to hold for the ballot's map by an order of this incarnation, and nothing is settled.
