--- a/libs/policy/include/policy/endpointchooser.h
+++ b/libs/policy/include/policy/endpointchooser.h
@@ -42,6 +42,7 @@
     std::uint32_t limit = 1; ///< Requests that it runs at once, at least 1.
     MonoTime reportedAt; ///< When the latest report came; the epoch if none has.
     Distance distance = Distance::SameDataCentre;
+    bool suspect = false; ///< See EndpointHealth: taken only if all others have been tried.
 };
 
 /** One request to place. */
--- a/libs/policy/src/admissionqueue.cpp
+++ b/libs/policy/src/admissionqueue.cpp
@@ -22,6 +22,8 @@
 constexpr double OccupancyWindow = 10;
 /** Trial work is never taken to have less than this share of the slots, or its wait would be without end. */
 constexpr double MinTrialShare = 0.02;
+/** Mean deviations of a service time that a long wait is above the expected one, for the root of the tickets ahead. */
+constexpr double LongWaitDeviations = 2.5;
 /** Seconds lost by a preemption whatever has been computed. */
 constexpr double LeastLoss = 0.01;
 /** Expiry entries of tickets that have left are dropped once they are more than the queued ones and this. */
@@ -350,6 +352,18 @@
         return ahead / slots(priorityClass);
     }
 
+    /**
+     * @return seconds that a wait takes at the longest, but for a few in a hundred. Admitting by the expected wait would let half of
+     * those at the limit expire in the queue: refused after seconds, not at once, with the queue full of them.
+     */
+    double longWait(wire::PriorityClass priorityClass, double wait) const
+    {
+        const ServiceTimes &times = classes_[indexOf(priorityClass)].times;
+        const double available = slots(priorityClass);
+        const double ahead = wait * available / std::max(times.meanTotal(), 1e-6);
+        return wait + LongWaitDeviations * std::sqrt(ahead) * times.deviation() / available;
+    }
+
     /** Mean service time of what holds the slots now. */
     double meanRunningTotal() const
     {
@@ -388,7 +402,8 @@
             decision.code = ErrorCode::DeadlineExceeded;
             return decision;
         }
-        const double needed = ticket.wholeAnswer ? wait + state.times.longTotal(ticket.promptTokens) : expected;
+        const double service = ticket.wholeAnswer ? state.times.longTotal(ticket.promptTokens) : state.times.firstToken(ticket.promptTokens);
+        const double needed = longWait(ticket.priorityClass, wait) + service;
         // With no wait at all it may try: an estimate that is too high would otherwise never be corrected, since nothing
         // would run and nothing be learned.
         if (options_.refusesLate && wait > 0 && needed > timeLeft) {
--- a/libs/policy/src/endpointchooser.cpp
+++ b/libs/policy/src/endpointchooser.cpp
@@ -116,6 +116,12 @@
     }
 
 private:
+    /** Suspect endpoints are taken only where there are no others: they may fail, but nothing else is left. */
+    bool isEligible(std::size_t index) const
+    {
+        return candidates_[index].suspect <= allowSuspects_ && !isTried(index);
+    }
+
     using IndexList = std::span<const std::uint32_t>;
 
     struct Ranked {
@@ -129,11 +135,14 @@
         std::vector<std::uint32_t> &scratch = chooser_.nearest_;
         // It only grows: setting it to zero anew for each choice would cost as much as filling it.
         scratch.resize(std::max(scratch.size(), candidates_.size()));
-        for (const Distance distance : {Distance::SameDataCentre, Distance::SameRegion, Distance::OtherRegion}) {
-            nearest_ = indicesAt(distance, scratch);
-            nearestDistance_ = distance;
-            if (!nearest_.empty()) {
-                return;
+        for (const bool allowSuspects : {false, true}) {
+            allowSuspects_ = allowSuspects;
+            for (const Distance distance : {Distance::SameDataCentre, Distance::SameRegion, Distance::OtherRegion}) {
+                nearest_ = indicesAt(distance, scratch);
+                nearestDistance_ = distance;
+                if (!nearest_.empty()) {
+                    return;
+                }
             }
         }
     }
@@ -144,7 +153,7 @@
         std::size_t count = 0;
         for (std::uint32_t i = 0; i < candidates_.size(); ++i) {
             scratch[count] = i;
-            count += candidates_[i].distance == distance ? 1 : 0;
+            count += candidates_[i].distance == distance && candidates_[i].suspect <= allowSuspects_ ? 1 : 0;
         }
         if (request_.tried.empty()) {
             return scratch.first(count);
@@ -327,7 +336,7 @@
         int found = 0;
         for (int i = 0; i < Tries && found < Wanted; ++i) {
             const std::size_t index = below(candidates_.size(), random_);
-            if (candidates_[index].distance <= nearestDistance_ || isTried(index)) {
+            if (candidates_[index].distance <= nearestDistance_ || !isEligible(index)) {
                 continue;
             }
             ++found;
@@ -376,7 +385,7 @@
         const std::size_t start = below(candidates_.size(), random_);
         for (std::size_t i = 0; i < candidates_.size() && !isFull(); ++i) {
             const std::size_t index = (start + i) % candidates_.size();
-            if (!isTried(index)) {
+            if (isEligible(index)) {
                 addSpare(index);
             }
         }
@@ -399,6 +408,7 @@
     MonoTime now_;
     Random &random_;
     IndexList nearest_; ///< The candidates not yet tried at the least distance.
+    bool allowSuspects_ = false;
     Distance nearestDistance_ = Distance::SameDataCentre;
     std::optional<Choice> elsewhere_; ///< A farther one, for when those are loaded more than its distance costs.
     double meanOthers_ = 0;
--- a/libs/policy/src/fairqueue.cpp
+++ b/libs/policy/src/fairqueue.cpp
@@ -159,9 +159,10 @@
     const double own = isQueued ? position->second.backlog : 0;
     const double ownWeight = isQueued ? position->second.weight : weight;
     const double otherWeights = isQueued ? queuedWeights_ - ownWeight : queuedWeights_;
-    // Its own work, what its share leaves to others meanwhile, and one turn of each of them; never more than all there is.
+    // Its own work, what its share leaves to others meanwhile, and one turn of each of them. This may be more than is queued
+    // now: under load others' work keeps coming and takes its turns.
     const double whileOwnRuns = own * (ownWeight + otherWeights) / ownWeight;
-    return std::min(backlog_, whileOwnRuns + otherWeights * unit());
+    return whileOwnRuns + otherWeights * unit();
 }
 
 std::size_t FairQueue::size() const
--- a/libs/policy/src/servicetimes.cpp
+++ b/libs/policy/src/servicetimes.cpp
@@ -99,6 +99,11 @@
     return total(promptTokens) + DeviationsForLong * deviation_;
 }
 
+double ServiceTimes::deviation() const
+{
+    return deviation_;
+}
+
 double ServiceTimes::meanTotal() const
 {
     return total(0) - firstToken(0) + meanFirstToken();
--- a/libs/policy/src/servicetimes.h
+++ b/libs/policy/src/servicetimes.h
@@ -25,6 +25,7 @@
     double firstToken(std::uint32_t promptTokens) const; ///< Start to first token.
     double total(std::uint32_t promptTokens) const; ///< Start to end.
     double longTotal(std::uint32_t promptTokens) const; ///< First start to end of all but the longest few in a hundred.
+    double deviation() const; ///< Mean deviation of the elapsed time from total().
     double meanFirstToken() const;
     double meanTotal() const;
 
--- a/libs/policy/tests/admissionqueuetest.cpp
+++ b/libs/policy/tests/admissionqueuetest.cpp
@@ -160,6 +160,22 @@
     start(queue, paying("small"));
 }
 
+// Symptom: a tenth of the requests of an overload is refused after seconds in the queue and not at once.
+// Sequence: an organisation with the longest queue offers one more; others' requests keep coming and take their turns.
+// Cause: its wait is taken to be at most what is queued now.
+BOOST_AUTO_TEST_CASE(othersKeepComing_longQueueOffered_isJudgedByItsShare)
+{
+    AdmissionQueue queue({.limit = 1, .initialFirstToken = 100ms, .initialTotal = 1s});
+    start(queue, paying("acme"));
+    for (int i = 0; i < 5; ++i) {
+        BOOST_REQUIRE(queue.offer(paying("acme"), now_).admitted);
+    }
+    BOOST_REQUIRE(queue.offer(paying("flue"), now_).admitted);
+    // Six are queued, but each of the five may find one of flue before it.
+    BOOST_TEST((queue.offer(paying("acme", 9s), now_).code == ErrorCode::Overloaded));
+    BOOST_TEST(queue.offer(paying("flue", 9s), now_).admitted);
+}
+
 // Symptom: a third of the trial answers of a surge is cut at the deadline, after their slots were held in vain.
 // Sequence: answers of very different lengths; one is admitted whose mean length would just fit.
 // Cause: the whole answer is judged by the mean although half of them are longer.
--- a/libs/policy/tests/endpointchoosertest.cpp
+++ b/libs/policy/tests/endpointchoosertest.cpp
@@ -1,4 +1,5 @@
 #include "policy/endpointchooser.h"
+#include "policy/endpointhealth.h"
 #include "policy/endpointsubset.h"
 
 #include <boost/test/unit_test.hpp>
@@ -173,6 +174,36 @@
     BOOST_TEST(homes.size() == 4U);
 }
 
+// Symptom: an endpoint that fails at once gets more requests than any other.
+// Sequence: its attempts end within milliseconds, so it has nothing in flight and reports no load.
+// Cause: the choice goes by load alone.
+BOOST_AUTO_TEST_CASE(suspectEndpointIdle_chosen_onlyIfNoneElseIsLeft)
+{
+    auto from = candidates(3);
+    from[1].suspect = true;
+    from[1].reportedLoad = 0;
+    BOOST_TEST(timesChosen({}, from, 1) == 0);
+    BOOST_TEST(chooser_.choose({}, from, now_, random_).size() == 2U);
+    const std::array<EndpointKey, 2> tried = {from[0].endpoint, from[2].endpoint};
+    const auto left = chooser_.choose({.prefix = {}, .tried = tried, .cacheHints = {}}, from, now_, random_);
+    BOOST_REQUIRE(left.size() == 1U);
+    BOOST_TEST(left.front().index == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(failingEndpoint_probed_isSuspectUntilOneEndsWell)
+{
+    EndpointHealth health({.failuresToSuspect = 2, .probe = {.base = 500ms, .limit = 500ms}});
+    health.failed(now_, random_);
+    BOOST_TEST(!health.isSuspect());
+    health.failed(now_, random_);
+    BOOST_TEST(health.isSuspect());
+    now_ += 501ms;
+    BOOST_TEST(health.tryProbe(now_, random_));
+    BOOST_TEST(!health.tryProbe(now_, random_));
+    health.succeeded();
+    BOOST_TEST(!health.isSuspect());
+}
+
 BOOST_AUTO_TEST_CASE(explained_listsEveryCandidateOnce_triedLast)
 {
     const auto from = candidates(9);
