--- a/libs/entry/include/entry/completion.h
+++ b/libs/entry/include/entry/completion.h
@@ -8,6 +8,9 @@
 namespace magnolia::entry
 {
 
+/** @return true for a "chat.completion.chunk" object; what an engine says instead, as a rule, is an error. */
+bool isCompletionPiece(std::string_view data);
+
 /**
  * Puts the pieces of a streamed chat completion together to the whole form of the OpenAI API.
  *
--- a/libs/entry/include/entry/platformports.h
+++ b/libs/entry/include/entry/platformports.h
@@ -1,30 +1,33 @@
 #ifndef MAGNOLIA_ENTRY_PLATFORMPORTS_H
 #define MAGNOLIA_ENTRY_PLATFORMPORTS_H
 
-#include "manifest/headrow.h"
+#include "entry/manifestfeed.h"
 #include "platform/instancelist.h"
 #include "platform/tablestore.h"
 
 #include <functional>
-#include <string>
+#include <memory>
+#include <utility>
 
 namespace magnolia::entry
 {
 
-/** What an entry asks the platform for; it never writes. Each call answers exactly once, never from within the call. */
+/** What an entry asks the platform for; it never writes. */
 struct PlatformPorts {
-    std::function<void(platform::ReadCallback)> readHeadRow;
-    std::function<void(const std::string &name, platform::GetCallback)> readObject;
+    /** Follows the manifest in the platform's stores and over the links that the callbacks lend. */
+    std::function<std::unique_ptr<ManifestFeed>(event_base *, const manifest::ManifestFollower::Options &, ManifestFeed::Callbacks)> follow;
+
+    /** Answers exactly once, never from within the call. */
     std::function<void(platform::InstancesCallback)> fetchInstances;
 };
 
-/** Binds the ports to a table, an object store and a list, which must outlive them. */
-template<platform::TableStore T, platform::ObjectStore O, platform::InstanceList L>
-PlatformPorts portsOf(T &table, O &objects, L &instances)
+/** Binds the ports to a table, an object store and a list, which must outlive them and the entry. */
+template<platform::TableStore Table, platform::ObjectStore Objects, platform::InstanceList Instances>
+PlatformPorts portsOf(Table &table, Objects &objects, Instances &instances)
 {
     return {
-        .readHeadRow = [&table](platform::ReadCallback done) { table.read(std::string(manifest::HeadRowKey), std::move(done)); },
-        .readObject = [&objects](const std::string &name, platform::GetCallback done) { objects.get(name, std::move(done)); },
+        .follow = [&table, &objects](event_base *loop, const manifest::ManifestFollower::Options &options, ManifestFeed::Callbacks callbacks)
+            -> std::unique_ptr<ManifestFeed> { return std::make_unique<StoreFeed<Table, Objects>>(loop, table, objects, options, std::move(callbacks)); },
         .fetchInstances = [&instances](platform::InstancesCallback done) { instances.fetch(std::move(done)); },
     };
 }
--- a/libs/entry/include/entry/requesttracker.h
+++ b/libs/entry/include/entry/requesttracker.h
@@ -30,7 +30,7 @@
 enum class RetryReason : std::uint8_t {
     First, ///< It is the first attempt.
     Unsent, ///< The one before never left the process.
-    Moved, ///< The agent is leaving or was restarted, and refused: no sign of overload.
+    Moved, ///< The endpoint is leaving, restarted or changing its version, and refused: no sign of overload.
     Refused, ///< Refused for another reason, as a rule overload.
     Lost, ///< The one before may have run and was lost.
 };
--- a/libs/entry/src/callerreply.cpp
+++ b/libs/entry/src/callerreply.cpp
@@ -57,35 +57,46 @@
     headers["cache-control"] = "no-cache";
     exchange_->beginStream(StatusOk, headers);
     hasBegun_ = true;
+    if (!gathered_.empty()) {
+        exchange_->sendPiece(eventOf(gathered_));
+    }
 }
 
 std::optional<ErrorCode> CallerReply::add(std::string_view data)
 {
-    if (options_.form == ReplyForm::EventStream) {
-        if (data == EndMark) {
-            return std::nullopt;
-        }
-        if (!hasBegun_) {
-            begin();
-        }
-        exchange_->sendPiece(eventOf(data));
-        // A caller that takes its answer more slowly than it is made would fill this process's memory.
-        if (exchange_->pendingBytes() > options_.maxPendingBytes) {
-            return ErrorCode::Cancelled;
-        }
+    if (options_.form != ReplyForm::Bytes && data == EndMark) {
         return std::nullopt;
     }
+    return options_.form == ReplyForm::EventStream ? addToStream(data) : gather(data);
+}
+
+std::optional<ErrorCode> CallerReply::addToStream(std::string_view data)
+{
+    if (!hasBegun_ && gathered_.empty() && !isCompletionPiece(data)) {
+        // An engine that refuses says so in its one piece, and its status comes after it. Were the stream begun now, the
+        // caller would get 200 and the error as a piece of the answer.
+        return gather(data);
+    }
+    if (!hasBegun_) {
+        begin();
+    }
+    exchange_->sendPiece(eventOf(data));
+    // A caller that takes its answer more slowly than it is made would fill this process's memory.
+    if (exchange_->pendingBytes() > options_.maxPendingBytes) {
+        return ErrorCode::Cancelled;
+    }
+    return std::nullopt;
+}
+
+std::optional<ErrorCode> CallerReply::gather(std::string_view data)
+{
     gatheredBytes_ += data.size();
     if (gatheredBytes_ > options_.maxWholeBytes) {
         isTooLarge_ = true;
         return ErrorCode::TooLarge;
     }
-    if (options_.form == ReplyForm::Bytes) {
-        gathered_ += data;
-        return std::nullopt;
-    }
-    if (data != EndMark && !completion_.add(data)) {
-        isBroken_ = true;
+    const bool isPiece = options_.form == ReplyForm::WholeCompletion && completion_.add(data);
+    if (!isPiece) {
         gathered_ += data;
     }
     return std::nullopt;
@@ -93,36 +104,45 @@
 
 void CallerReply::succeed(const Conclude &end)
 {
-    if (options_.form == ReplyForm::EventStream) {
-        if (!hasBegun_) {
-            begin();
-        }
-        exchange_->sendPiece(EndOfStream);
-        exchange_->endStream();
-        return;
-    }
+    const bool isError = end.status >= FirstErrorStatus;
     if (isTooLarge_) {
         fail({.code = ErrorCode::TooLarge, .verdict = Verdict::Ran, .detail = "the answer is too large", .retryAfter = {}});
+    } else if (options_.form == ReplyForm::EventStream && (hasBegun_ || !isError)) {
+        endStream(end);
+    } else if (options_.form == ReplyForm::Bytes || isError) {
+        replyGathered(end);
+    } else if (!gathered_.empty()) {
+        fail({.code = ErrorCode::EndpointError, .verdict = Verdict::Ran, .detail = "the endpoint's answer is no chat completion", .retryAfter = {}});
+    } else {
+        http::Headers headers = headersFor(end.verdict);
+        headers["content-type"] = "application/json";
+        exchange_->reply(StatusOk, headers, completion_.toJson());
+    }
+}
+
+void CallerReply::endStream(const Conclude &end)
+{
+    if (end.status >= FirstErrorStatus) {
+        fail({.code = ErrorCode::EndpointError, .verdict = Verdict::Ran, .detail = "the endpoint refused to go on", .retryAfter = {}});
         return;
     }
+    if (!hasBegun_) {
+        begin();
+    }
+    exchange_->sendPiece(EndOfStream);
+    exchange_->endStream();
+}
+
+void CallerReply::replyGathered(const Conclude &end)
+{
     http::Headers headers = headersFor(end.verdict);
-    const int status = end.status == 0 ? StatusOk : static_cast<int>(end.status);
     if (end.replayed) {
         headers["idempotent-replayed"] = "true";
     }
-    if (options_.form == ReplyForm::Bytes || end.status >= FirstErrorStatus) {
-        if (!end.contentType.empty()) {
-            headers["content-type"] = end.contentType;
-        }
-        exchange_->reply(status, headers, gathered_);
-        return;
-    }
-    if (isBroken_) {
-        fail({.code = ErrorCode::EndpointError, .verdict = Verdict::Ran, .detail = "the endpoint's answer is no chat completion", .retryAfter = {}});
-        return;
+    if (!end.contentType.empty()) {
+        headers["content-type"] = end.contentType;
     }
-    headers["content-type"] = "application/json";
-    exchange_->reply(status, headers, completion_.toJson());
+    exchange_->reply(end.status == 0 ? StatusOk : static_cast<int>(end.status), headers, gathered_);
 }
 
 void CallerReply::fail(const Failure &failure)
--- a/libs/entry/src/callerreply.h
+++ b/libs/entry/src/callerreply.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -53,15 +54,18 @@
 
 private:
     http::Headers headersFor(Verdict verdict) const;
+    std::optional<ErrorCode> addToStream(std::string_view data);
+    std::optional<ErrorCode> gather(std::string_view data);
     void begin();
+    void endStream(const Conclude &end);
+    void replyGathered(const Conclude &end);
 
     std::shared_ptr<http::Exchange> exchange_;
     Options options_;
     Completion completion_;
-    std::string gathered_;
+    std::string gathered_; ///< A service's body, or what an engine said that is no piece of a completion.
     std::size_t gatheredBytes_ = 0;
     bool hasBegun_ = false;
-    bool isBroken_ = false; ///< A piece is no part of a chat completion.
     bool isTooLarge_ = false;
     bool closeAfterwards_ = false;
 };
--- a/libs/entry/src/callrunner.cpp
+++ b/libs/entry/src/callrunner.cpp
@@ -348,7 +348,7 @@
 bool CallRunner::isPaidFor(const Call &call, RetryReason reason)
 {
     // Retries after a refusal would feed an overload. Those after a loss would feed a fault that kills engines, so that
-    // each request pays for about one. An agent that leaves refuses everybody once, and that costs nothing.
+    // each request pays for about one. An endpoint that leaves or changes refuses everybody once, and that costs nothing.
     switch (reason) {
     case RetryReason::Refused:
         return budgetsOf(call).refusals.tryRetry(MonoClock::now());
--- a/libs/entry/src/completion.cpp
+++ b/libs/entry/src/completion.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace magnolia::entry
 {
 
@@ -71,8 +73,22 @@
     }
 }
 
+bool isPiece(const Json &piece)
+{
+    if (!piece.is_object() || !piece.contains("choices") || !piece["choices"].is_array()) {
+        return false;
+    }
+    const Json &choices = piece["choices"];
+    return std::all_of(choices.begin(), choices.end(), [](const Json &choice) { return choice.is_object(); });
+}
+
 } // namespace
 
+bool isCompletionPiece(std::string_view data)
+{
+    return isPiece(Json::parse(data, nullptr, false));
+}
+
 Completion::Completion() : data_(std::make_unique<Data>()) {}
 
 Completion::~Completion() = default;
@@ -80,7 +96,7 @@
 bool Completion::add(std::string_view data)
 {
     const Json piece = Json::parse(data, nullptr, false);
-    if (!piece.is_object()) {
+    if (!isPiece(piece)) {
         return false;
     }
     for (const auto &[field, value] : piece.items()) {
@@ -92,17 +108,7 @@
     if (usage != piece.end() && !usage->is_null()) {
         data_->usage = *usage;
     }
-    const auto choices = piece.find("choices");
-    if (choices == piece.end()) {
-        return true;
-    }
-    if (!choices->is_array()) {
-        return false;
-    }
-    for (const Json &choice : *choices) {
-        if (!choice.is_object()) {
-            return false;
-        }
+    for (const Json &choice : piece["choices"]) {
         const auto delta = choice.find("delta");
         if (delta != choice.end() && delta->is_object()) {
             for (const auto &[field, value] : delta->items()) {
--- a/libs/entry/src/entrytask.cpp
+++ b/libs/entry/src/entrytask.cpp
@@ -4,9 +4,9 @@
 #include "callrunner.h"
 #include "entry/callerrequest.h"
 #include "entry/erroranswer.h"
+#include "entry/manifestfeed.h"
 #include "entry/stopsequence.h"
 #include "entrymetrics.h"
-#include "manifestfeed.h"
 #include "observe/log.h"
 #include "operatorsapi.h"
 #include "placement.h"
@@ -94,7 +94,7 @@
     std::string status() const;
 
     // Agents and manifest.
-    void putInForce(manifest::ManifestIndex::Pointer index);
+    void putInForce(const manifest::ManifestIndex::Pointer &index);
     void fetchInstances();
     void takeInstances(const Result<std::vector<platform::Instance>> &instances);
     void retargetSoon();
@@ -115,7 +115,7 @@
     AgentPool pool_;
     Placement placement_;
     CallRunner runner_;
-    ManifestFeed feed_;
+    std::unique_ptr<ManifestFeed> feed_;
     manifest::ManifestIndex::Pointer index_;
     policy::TokenBuckets buckets_;
     policy::EndpointSubset subset_;
@@ -148,7 +148,7 @@
     , pool_(loop, options_.links, poolCallbacks())
     , placement_({}, seededRandom())
     , runner_(loop, {.maxWholeBytes = options_.maxWholeBytes, .maxPendingBytes = options_.maxPendingBytes}, pool_, placement_, metrics_, tracer)
-    , feed_(loop, {.pollInterval = options_.pollInterval}, seededRandom(), ports_, feedCallbacks())
+    , feed_(ports_.follow(loop, {.pollInterval = options_.pollInterval}, feedCallbacks()))
     , buckets_({})
     , subset_(options_.subset)
     , listTimer_(loop, [this] { fetchInstances(); })
@@ -177,7 +177,7 @@
     operators_ = std::move(*operators);
     callers_ = std::move(*callers);
     log()->info("Callers are served on {}, operators on {}", callers_->address(), operators_->address());
-    feed_.start();
+    feed_->start();
     fetchInstances();
     return {};
 }
@@ -287,7 +287,7 @@
 
 std::string EntryTaskImpl::status() const
 {
-    const manifest::FollowerStatus manifestStatus = feed_.status();
+    const manifest::FollowerStatus manifestStatus = feed_->status();
     return statusBody({.instance = options_.instance,
                        .dataCentre = options_.dataCentre,
                        .isLeaving = stop_.isStopping(),
@@ -303,13 +303,13 @@
             [this](Agent &agent) {
                 metrics_.linksUp.set(static_cast<double>(pool_.linksUp()));
                 runner_.agentUp(agent);
-                feed_.peerUp(agent.at.name);
+                feed_->peerUp(agent.at.name);
             },
         .down =
             [this](Agent &agent, LinkId ended) {
                 metrics_.linksUp.set(static_cast<double>(pool_.linksUp()));
                 runner_.linkDown(agent, ended);
-                feed_.peerDown(agent.at.name);
+                feed_->peerDown(agent.at.name);
             },
         .lost =
             [this](Agent &agent) {
@@ -320,7 +320,7 @@
         .dropped =
             [this](Agent &agent) {
                 placement_.invalidate(index_, pool_);
-                feed_.peerDown(agent.at.name);
+                feed_->peerDown(agent.at.name);
             },
     };
 }
@@ -328,32 +328,27 @@
 ManifestFeed::Callbacks EntryTaskImpl::feedCallbacks()
 {
     return {
-        .sendToPeer =
+        .send =
             [this](const manifest::PeerName &peer, const wire::Message &message) {
                 if (Agent *agent = pool_.find(peer)) {
                     pool_.send(*agent, message);
                 }
             },
-        .inForce = [this](manifest::ManifestIndex::Pointer index) { putInForce(std::move(index)); },
+        .putInForce = [this](const manifest::ManifestIndex::Pointer &index) { putInForce(index); },
+        .warn = [](std::string_view text) { observe::logger("manifest")->warn("{}", text); },
     };
 }
 
 void EntryTaskImpl::takeMessage(Agent &agent, wire::Message &&message)
 {
-    if (const auto *head = std::get_if<wire::ManifestHead>(&message)) {
-        feed_.take(agent.at.name, *head);
-    } else if (const auto *request = std::get_if<wire::ChunkRequest>(&message)) {
-        feed_.take(agent.at.name, *request);
-    } else if (const auto *chunk = std::get_if<wire::ChunkData>(&message)) {
-        feed_.take(agent.at.name, *chunk);
-    } else {
+    if (!feed_->take(agent.at.name, message)) {
         runner_.take(agent, std::move(message));
     }
 }
 
-void EntryTaskImpl::putInForce(manifest::ManifestIndex::Pointer index)
+void EntryTaskImpl::putInForce(const manifest::ManifestIndex::Pointer &index)
 {
-    index_ = std::move(index);
+    index_ = index;
     log()->info("Manifest version {} is in force", index_->version());
     metrics_.manifestVersion.set(static_cast<double>(index_->version()));
     placement_.invalidate(index_, pool_);
--- a/libs/entry/src/requesttracker.cpp
+++ b/libs/entry/src/requesttracker.cpp
@@ -34,7 +34,7 @@
     if (failure.verdict != Verdict::NotRun) {
         return RetryReason::Lost;
     }
-    const bool hasMoved = failure.code == ErrorCode::Leaving || failure.code == ErrorCode::StaleIncarnation;
+    const bool hasMoved = failure.code == ErrorCode::Leaving || failure.code == ErrorCode::StaleIncarnation || failure.code == ErrorCode::Unavailable;
     return hasMoved ? RetryReason::Moved : RetryReason::Refused;
 }
 
