--- /dev/null
+++ b/apps/magnolia-entry/main.cpp
@@ -0,0 +1,188 @@
+// magnolia-entry: takes callers' requests and dispatches them to the agents. A thin main over libs/entry.
+#include "entry/entrytask.h"
+#include "observe/log.h"
+#include "platform/httpinstances.h"
+#include "platform/httpobjects.h"
+#include "platform/httptable.h"
+#include "settings/settings.h"
+
+#include <event2/event.h>
+#include <getopt.h>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace
+{
+
+using namespace magnolia;
+
+constexpr int ExitOk = 0;
+constexpr int ExitFailed = 1;
+constexpr int ExitBadInput = 2;
+
+constexpr const char *Usage = R"(Usage: magnolia-entry --settings FILE [--check-settings]
+
+Takes callers' requests and dispatches them to the agents of endpoints.
+
+  --settings FILE    settings in TOML; see docs/CONFIGURATION.md
+  --check-settings   check the settings and exit
+  --help             print this and exit
+  --version          print the version and exit
+
+SIGTERM and SIGINT stop it as planned: it is not ready at once, takes new work for stop.lag_ms, lets work in progress end.
+Exit codes: 0 stopped as planned, 1 failed to start, 2 wrong arguments or settings.
+)";
+
+struct CommandLine {
+    std::string settingsFile;
+    bool checkOnly = false;
+    std::optional<int> exitCode; ///< Set if there is nothing more to do.
+};
+
+CommandLine parseCommandLine(int argc, char **argv)
+{
+    enum Option : int {
+        Settings = 1,
+        CheckSettings,
+        Help,
+        Version,
+    };
+    const option options[] = {{"settings", required_argument, nullptr, Settings},
+                              {"check-settings", no_argument, nullptr, CheckSettings},
+                              {"help", no_argument, nullptr, Help},
+                              {"version", no_argument, nullptr, Version},
+                              {nullptr, 0, nullptr, 0}};
+    CommandLine line;
+    for (int found = getopt_long(argc, argv, "", options, nullptr); found != -1; found = getopt_long(argc, argv, "", options, nullptr)) {
+        switch (found) {
+        case Settings:
+            line.settingsFile = optarg;
+            break;
+        case CheckSettings:
+            line.checkOnly = true;
+            break;
+        case Help:
+            std::cout << Usage;
+            line.exitCode = ExitOk;
+            return line;
+        case Version:
+            std::cout << "magnolia-entry " << MAGNOLIA_VERSION << '\n';
+            line.exitCode = ExitOk;
+            return line;
+        default:
+            line.exitCode = ExitBadInput;
+            return line;
+        }
+    }
+    if (optind < argc || line.settingsFile.empty()) {
+        std::cerr << "magnolia-entry: give --settings FILE and nothing else; see --help\n";
+        line.exitCode = ExitBadInput;
+    }
+    return line;
+}
+
+entry::EntryOptions entryOptions(const settings::EntrySettings &settings)
+{
+    entry::EntryOptions options;
+    options.instance = settings.instance.name;
+    options.dataCentre = settings.instance.dataCentre;
+    options.callers.address = settings.callers.address;
+    options.callers.maxBodyBytes = settings.callers.maxBodyBytes;
+    options.callers.maxHeaderBytes = settings.callers.maxHeaderBytes;
+    options.callers.maxConnections = settings.callers.maxConnections;
+    options.defaultTimeout = settings.callers.defaultTimeout;
+    options.operators.address = settings.operators.address;
+    options.operatorsKey = settings.operators.key;
+    options.links = settings::linkOptions(settings);
+    options.pollInterval = settings.platform.pollInterval;
+    options.stopLag = settings.stop.lag;
+    options.stopWarnAfter = settings.stop.warnAfter;
+    return options;
+}
+
+void hideSecrets(const settings::EntrySettings &settings)
+{
+    observe::hideFromLogs(settings.operators.key);
+    for (const settings::LinkKeySettings &key : settings.links.keys) {
+        observe::hideFromLogs(key.secret);
+    }
+}
+
+struct FreeLoop {
+    void operator()(event_base *loop) const
+    {
+        event_base_free(loop);
+    }
+};
+
+struct FreeEvent {
+    void operator()(event *handle) const
+    {
+        event_free(handle);
+    }
+};
+
+using SignalPointer = std::unique_ptr<event, FreeEvent>;
+
+SignalPointer drainOn(int signal, event_base *loop, entry::EntryTask &task)
+{
+    const auto onSignal = [](evutil_socket_t /*signal*/, short /*what*/, void *drained) { static_cast<entry::EntryTask *>(drained)->drain(); };
+    SignalPointer handler(evsignal_new(loop, signal, onSignal, &task));
+    event_add(handler.get(), nullptr);
+    return handler;
+}
+
+int run(const settings::EntrySettings &settings)
+{
+    const std::unique_ptr<event_base, FreeLoop> loop(event_base_new());
+    platform::HttpTable table(loop.get(), {.address = settings.platform.table});
+    platform::HttpObjects objects(loop.get(), {.address = settings.platform.objects});
+    platform::HttpInstances instances(loop.get(), {.address = settings.platform.instances});
+    observe::Metrics metrics;
+    observe::Tracer tracer({.file = settings.traces.file,
+                            .service = "magnolia-entry",
+                            .instance = settings.instance.name,
+                            .dataCentre = settings.instance.dataCentre,
+                            .samplingRatio = settings.traces.samplingRatio},
+                           seededRandom());
+    auto task = entry::EntryTask::start(
+        loop.get(), entryOptions(settings), entry::portsOf(table, objects, instances), metrics, tracer, [&loop] { event_base_loopbreak(loop.get()); });
+    if (!task) {
+        observe::logger("entry")->error("Can't start: {}", task.error().detail);
+        return ExitFailed;
+    }
+    const SignalPointer onTerminate = drainOn(SIGTERM, loop.get(), **task);
+    const SignalPointer onInterrupt = drainOn(SIGINT, loop.get(), **task);
+    event_base_dispatch(loop.get());
+    return ExitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const CommandLine line = parseCommandLine(argc, argv);
+    if (line.exitCode) {
+        return *line.exitCode;
+    }
+    const auto settings = settings::load<settings::EntrySettings>(line.settingsFile);
+    if (!settings) {
+        for (const settings::Problem &problem : settings.error()) {
+            std::cerr << toString(problem) << '\n';
+        }
+        return ExitBadInput;
+    }
+    if (line.checkOnly) {
+        std::cout << line.settingsFile << ": the settings are good\n";
+        return ExitOk;
+    }
+    // A caller that closes its connection while it is written to must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    observe::configureLogging(settings->log);
+    hideSecrets(*settings);
+    return run(*settings);
+}
