--- a/libs/platform/src/httpinstances.cpp
+++ b/libs/platform/src/httpinstances.cpp
@@ -24,6 +24,7 @@
             .address = fields.at("address").get<std::string>(),
             .dataCentre = fields.value("data_centre", ""),
             .leaving = fields.value("leaving", false),
+            .operators = fields.value("operators", ""),
         };
     } catch (const Json::exception &) {
         return std::nullopt;
