ctl: a wait for no daemon at all is not a success

Found by a run against the stand-in platform with no daemon: 'in force at all 0 daemons', exit 0. Cause: 'every live daemon' is true of none. Now exit 5 and a line that says so (noDaemonAtAll_waitedFor_isNotSuccess; the run above is how it failed before).

--- a/libs/ctl/src/waitprogress.cpp
+++ b/libs/ctl/src/waitprogress.cpp
@@ -41,6 +41,10 @@
             progress.lacking.push_back(fmt::format("{} is listed as live, but no operators' address of ours reaches it", instance.name));
         }
     }
+    // "At all of 0 daemons" would be true and say nothing.
+    if (progress.expected == 0 && !reports.empty()) {
+        progress.lacking.emplace_back("no daemon answers, and none is listed as live");
+    }
     return progress;
 }
 
--- a/libs/ctl/tests/ctltest.cpp
+++ b/libs/ctl/tests/ctltest.cpp
@@ -258,6 +258,16 @@
     BOOST_TEST(err.str().find("not yet: agent-x is listed as live") != std::string::npos, err.str());
 }
 
+BOOST_AUTO_TEST_CASE(noDaemonAtAll_waitedFor_isNotSuccess)
+{
+    // Symptom: a pipeline goes on although nothing runs the new version. Sequence: all daemons are down and have dropped
+    // off the list. Cause: "every live daemon" is true of none.
+    first.server.reset();
+    second.server.reset();
+    BOOST_TEST(apply({"apply", "-s", "s", "--wait", "--timeout", "1", Example}) == 5);
+    BOOST_TEST(err.str().find("no daemon answers") != std::string::npos, err.str());
+}
+
 BOOST_AUTO_TEST_CASE(operatorsAddressOfList_notInSettings_isAskedToo)
 {
     FakeDaemon third(loop.get(), "agent-x");
