--- a/libs/base/include/base/requestid.h
+++ b/libs/base/include/base/requestid.h
@@ -31,7 +31,7 @@
     /** @return 32 lower-case hexadecimal digits. */
     std::string toString() const;
 
-    auto operator<=>(const RequestId &) const = default;
+    auto operator<=>(const RequestId &) const = default; // NOLINT(modernize-use-nullptr): wrong for a defaulted comparison
 };
 
 } // namespace magnolia
--- a/libs/engine/src/engineclient.cpp
+++ b/libs/engine/src/engineclient.cpp
@@ -96,6 +96,7 @@
         bool done = false; ///< The stream's end mark came.
         Duration silence{0}; ///< Present limit of a silent stream.
         int failedProbes = 0;
+        bool resumed = false; ///< An earlier connection carried it, so that it has begun whatever becomes of this one.
         std::unique_ptr<Timer> silenceTimer;
     };
 
@@ -219,7 +220,11 @@
     }
     if (!result) {
         noteLostConnection(result.error());
-        finish(id, tl::unexpected(result.error()));
+        Failure failure = result.error();
+        if (call->resumed) {
+            failure.verdict = Verdict::MayHaveRun;
+        }
+        finish(id, tl::unexpected(std::move(failure)));
         return;
     }
     if (call->status == StatusOk) {
@@ -262,6 +267,7 @@
         constexpr int Growth = 2;
         call->silence *= Growth;
         call->failedProbes = 0;
+        call->resumed = true;
         sendModel(id, *call);
         return;
     }
--- a/libs/observe/include/observe/trace.h
+++ b/libs/observe/include/observe/trace.h
@@ -48,7 +48,7 @@
 class Span
 {
 public:
-    Span() = default; ///< Records nothing.
+    Span(); ///< Records nothing.
     Span(Span &&) noexcept;
     Span &operator=(Span &&) noexcept;
     ~Span();
--- a/libs/observe/src/trace.cpp
+++ b/libs/observe/src/trace.cpp
@@ -97,6 +97,8 @@
     return *this;
 }
 
+Span::Span() = default;
+
 Span::~Span()
 {
     end();
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -40,7 +40,7 @@
     RequestId request;
     std::uint32_t attempt = 0;
 
-    auto operator<=>(const AttemptId &) const = default;
+    auto operator<=>(const AttemptId &) const = default; // NOLINT(modernize-use-nullptr): wrong for a defaulted comparison
 };
 
 /** Entry to agent: run this. */
