--- a/libs/agent/include/agent/attemptrunner.h
+++ b/libs/agent/include/agent/attemptrunner.h
@@ -92,8 +92,8 @@
     /** @return queued and lately refused requests of each model. */
     std::map<std::string, std::uint32_t> waitingByModel() const;
 
-    /** @return how many attempts of a model are at the engine. */
-    std::uint32_t runningOf(const std::string &model) const;
+    /** @return how many attempts of a model are queued or at the engine. */
+    std::uint32_t openOf(const std::string &model) const;
 
 private:
     class Impl;
--- a/libs/agent/src/agenttask.cpp
+++ b/libs/agent/src/agenttask.cpp
@@ -6,6 +6,7 @@
 #include "manifestdriver.h"
 #include "observe/log.h"
 #include "operatorsapi.h"
+#include "rolloutdriver.h"
 
 #include <nlohmann/json.hpp>
 
@@ -60,6 +61,7 @@
     }
 
 private:
+    wire::LinkOptions linkOptions() const;
     wire::Link::Callbacks takeLink(std::unique_ptr<wire::Link> link);
     void onMessage(LinkId link, wire::Message &&message);
     void onClosed(LinkId link, const Failure &failure);
@@ -70,6 +72,7 @@
     void reportToAll();
     void reportSoon();
     wire::LoadReport report() const;
+    std::vector<std::string> loaded() const;
     void onTick();
     void watchStop();
     std::string notReadyReason() const;
@@ -92,6 +95,7 @@
     engine::EngineClient engine_;
     AttemptRunner runner_;
     ManifestDriver manifest_;
+    RolloutDriver rollout_;
     EngineKeeper keeper_;
     ReportPace pace_;
     engine::Timer tickTimer_;
@@ -136,6 +140,18 @@
                     .send = [this](const manifest::PeerName &peer, const wire::Message &message) { sendToPeer(peer, message); },
                     .putInForce = [this](const manifest::ManifestIndex::Pointer &index) { putInForce(index); },
                 })
+    , rollout_(loop,
+               options_.endpoint,
+               linkOptions(),
+               platform_,
+               {
+                   .hold =
+                       [this](const std::set<std::string> &models) {
+                           runner_.hold(models);
+                           reportSoon();
+                       },
+                   .open = [this](const std::string &model) { return runner_.openOf(model); },
+               })
     , keeper_(loop,
               {.endpoint = options_.endpoint, .incarnation = incarnation_, .pollInterval = options_.enginePollInterval},
               engine_,
@@ -143,7 +159,7 @@
               {
                   .seen = [this](const std::optional<engine::EngineState> &state, bool serving) { onSeen(state, serving); },
                   .waiting = [this] { return runner_.waitingByModel(); },
-                  .mayReplace = [](const std::set<std::string> &) { return std::set<std::string>{}; },
+                  .mayReplace = [this](const engine::EngineState &state) { return rollout_.onSeen(state); },
               },
               metrics)
     , pace_(options_.reports)
@@ -154,7 +170,7 @@
 {
 }
 
-Result<void> Task::bind()
+wire::LinkOptions Task::linkOptions() const
 {
     wire::LinkOptions links = options_.links;
     links.self = {
@@ -164,10 +180,15 @@
         .endpoint = options_.endpoint,
         .incarnation = incarnation_,
     };
+    return links;
+}
+
+Result<void> Task::bind()
+{
     auto listener = wire::LinkListener::listen(
         loop_,
         options_.linkAddress,
-        links,
+        linkOptions(),
         [this](std::unique_ptr<wire::Link> link) { return takeLink(std::move(link)); },
         [](const Failure &failure) { observe::logger("link")->warn("a connection was not let in: {}", failure.detail); });
     if (!listener) {
@@ -270,6 +291,7 @@
     index_ = index;
     observe::logger("manifest")->info("version {} is in force", index->version());
     runner_.setManifest(index);
+    rollout_.setManifest(index);
     keeper_.setManifest(index);
     reportSoon();
 }
@@ -300,11 +322,22 @@
         .waitTrial = load.waitTrial,
         .leaving = leavingSince_.has_value(),
         .serving = serving_,
-        .loaded = state_ ? loadedNames(*state_) : std::vector<std::string>{},
+        .loaded = loaded(),
         .manifestVersion = index_ ? index_->version() : 0,
     };
 }
 
+std::vector<std::string> Task::loaded() const
+{
+    if (!state_) {
+        return {};
+    }
+    engine::EngineState open = *state_;
+    // What is about to change its version takes no new work, so entries shall not send it any.
+    std::erase_if(open.models, [this](const engine::ModelState &model) { return rollout_.held().contains(model.name); });
+    return loadedNames(open);
+}
+
 void Task::reportToAll()
 {
     const wire::LoadReport present = report();
--- a/libs/agent/src/attemptrunner.cpp
+++ b/libs/agent/src/attemptrunner.cpp
@@ -857,11 +857,10 @@
     return waiting;
 }
 
-std::uint32_t AttemptRunner::runningOf(const std::string &model) const
+std::uint32_t AttemptRunner::openOf(const std::string &model) const
 {
     const auto &open = impl_->open_;
-    return static_cast<std::uint32_t>(
-        std::count_if(open.begin(), open.end(), [&model](const auto &entry) { return entry.second->dispatch.model == model && entry.second->call != 0; }));
+    return static_cast<std::uint32_t>(std::count_if(open.begin(), open.end(), [&model](const auto &entry) { return entry.second->dispatch.model == model; }));
 }
 
 } // namespace magnolia::agent
--- a/libs/agent/src/enginekeeper.cpp
+++ b/libs/agent/src/enginekeeper.cpp
@@ -123,7 +123,7 @@
     }
     const DesiredEngine desired = desiredEngine(*index_, options_.endpoint);
     ReconcilePlan plan = reconcile(desired, *state, ports_.waiting(), {});
-    const std::set<std::string> mayReplace = ports_.mayReplace(plan.replaces);
+    const std::set<std::string> mayReplace = ports_.mayReplace(*state);
     if (!mayReplace.empty()) {
         plan = reconcile(desired, *state, ports_.waiting(), mayReplace);
     }
--- a/libs/agent/src/enginekeeper.h
+++ b/libs/agent/src/enginekeeper.h
@@ -40,7 +40,7 @@
     struct Ports {
         std::function<void(const std::optional<engine::EngineState> &state, bool serving)> seen{};
         std::function<std::map<std::string, std::uint32_t>()> waiting{};
-        std::function<std::set<std::string>(const std::set<std::string> &replaces)> mayReplace{}; ///< Asks for leave, and says what has it.
+        std::function<std::set<std::string>(const engine::EngineState &state)> mayReplace{}; ///< Models that may go out of service now.
     };
 
     EngineKeeper(event_base *loop, Options options, engine::EngineClient &engine, const PlatformPorts &platform, Ports ports, observe::Metrics &metrics);
