path: a leaving agent is asked while it still has streams in progress

Before, the agent had nothing in progress and was gone before the test asked: the test could not have told a refusal from an absence. Instances are registered with their operators' address, as magnoliactl reads it from the list.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -113,9 +113,9 @@
     return 1
 }
 
-register() { # NAME ROLE ENDPOINT ADDRESS: what the platform's own tooling does
+register() { # NAME ROLE ENDPOINT ADDRESS OPERATORS_ADDRESS: what the platform's own tooling does
     curl --silent --fail --max-time 5 --output /dev/null --request PUT "http://$platform/instances/$1" \
-        --data "{\"role\":\"$2\",\"endpoint\":\"$3\",\"address\":\"$4\",\"data_centre\":\"north\",\"leaving\":false}"
+        --data "{\"role\":\"$2\",\"endpoint\":\"$3\",\"address\":\"$4\",\"operators\":\"$5\",\"data_centre\":\"north\",\"leaving\":false}"
 }
 
 common_settings() { # NAME OPERATORS_ADDRESS
@@ -146,7 +146,7 @@
         printf '[links]\naddress = "%s"\nkeys = [{ id = "quickstart", secret = "%s" }]\n' "$links" "$link_secret"
         printf '[stop]\nlag_ms = 0\n'
     } >"$folder/$name.toml"
-    register "$name" agent "$1" "$links"
+    register "$name" agent "$1" "$links" "$operators"
     start "$name" build/apps/magnolia-agent/magnolia-agent --settings "$folder/$name.toml"
     daemons+=("$name" "$operators")
 }
@@ -160,7 +160,7 @@
         printf '[links]\nkeys = [{ id = "quickstart", secret = "%s" }]\n' "$link_secret"
         printf '[stop]\nlag_ms = 200\n'
     } >"$folder/$1.toml"
-    register "$1" entry "" "$2"
+    register "$1" entry "" "$2" "$operators"
     start "$1" build/apps/magnolia-entry/magnolia-entry --settings "$folder/$1.toml"
     daemons+=("$1" "$operators")
 }
--- a/tests/path/src/deployment.cpp
+++ b/tests/path/src/deployment.cpp
@@ -267,7 +267,14 @@
     CallerRequest request;
     request.method = "PUT";
     request.path = "/instances/" + member.name;
-    request.body = Json{{"role", role}, {"endpoint", endpoint}, {"address", member.work.address()}, {"data_centre", "north"}, {"leaving", false}}.dump();
+    request.body = Json{
+        {"role", role},
+        {"endpoint", endpoint},
+        {"address", member.work.address()},
+        {"operators", member.operators.address()},
+        {"data_centre", "north"},
+        {"leaving",
+         false}}.dump();
     require(caller.call(platform_->work.address(), request).status == 200, "the platform does not take " + member.name);
 }
 
--- a/tests/path/tests/stoptest.cpp
+++ b/tests/path/tests/stoptest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <string>
+#include <vector>
 
 using namespace magnolia;
 using namespace magnolia::path;
@@ -70,20 +71,74 @@
     BOOST_TEST(deployment.waitForEnd(entry).value_or(-1) == 0);
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace
+{
+
+/** Streams of six seconds, so that an agent which leaves stays for a while. */
+struct LeavingFixture {
+    LeavingFixture()
+    {
+        deployment.start();
+    }
+
+    std::string entryAddress(std::size_t index)
+    {
+        return deployment.entry(index % deployment.entryCount()).work.address();
+    }
+
+    bool hasRun(std::size_t engine, const std::string &marker)
+    {
+        return deployment.caller.get(deployment.engine(engine).work.address(), "/test/counts").body.find(marker) != std::string::npos;
+    }
+
+    CallerRequest shortRequest(const std::string &marker)
+    {
+        CallerRequest request = chatRequest(PayingKey, "guide", marker, true);
+        Json body = Json::parse(request.body);
+        body["max_tokens"] = 1;
+        request.body = body.dump();
+        return request;
+    }
+
+    Deployment deployment{{.entries = 2, .engines = 2, .hasBooking = false, .pieces = 600, .pieceInterval = Duration{10}}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LeavingPath, LeavingFixture)
+
 // Symptom: a request reaches an endpoint that is leaving.
-// Sequence: an agent gets SIGTERM while the platform's list, which lags, still shows it live.
+// Sequence: an agent with streams in progress gets SIGTERM, while the platform's list, which lags, still shows it live.
 // Cause: the list is no proof of liveness; the agent itself has to say "leaving" on its links and refuse new work.
-BOOST_AUTO_TEST_CASE(agent_toldToStop_getsNoNewWorkWhileTheListStillShowsIt)
+BOOST_AUTO_TEST_CASE(agent_toldToStopWithStreamsInProgress_getsNoNewWorkAndCutsNothingOff)
 {
-    deployment.agent(0).process->terminate();
-    deployment.loop.runFor(Duration{2000});
-    const std::string engine = deployment.engine(0).work.address();
+    std::vector<CallPtr> streams;
+    for (int i = 0; i < 8; ++i) {
+        streams.push_back(
+            deployment.caller.start(entryAddress(static_cast<std::size_t>(i)), chatRequest(PayingKey, "guide", "long-" + std::to_string(i), true)));
+    }
+    BOOST_REQUIRE(deployment.loop.runUntil([this] { return hasRun(0, "long-") && hasRun(1, "long-"); }, Duration{3000}));
+
+    Member &leaving = deployment.agent(0);
+    leaving.process->terminate();
+    deployment.loop.runFor(Duration{300});
     for (int i = 0; i < 20; ++i) {
-        const Call call =
-            deployment.caller.call(deployment.entry(static_cast<std::size_t>(i % 2)).work.address(), chatRequest(PayingKey, "guide", "after-notice", false));
+        const Call call = deployment.caller.call(entryAddress(static_cast<std::size_t>(i)), shortRequest("after-" + std::to_string(i)));
         BOOST_TEST(call.status == 200);
     }
-    BOOST_TEST(deployment.caller.get(engine, "/test/counts").body.find("after-notice") == std::string::npos);
+    BOOST_TEST(leaving.process->isRunning());
+    BOOST_TEST(!hasRun(0, "after-"));
+
+    for (int i = 0; i < 8; ++i) {
+        const Call &stream = *streams[static_cast<std::size_t>(i)];
+        BOOST_REQUIRE(deployment.loop.runUntil([&stream] { return stream.isEnded; }));
+        BOOST_TEST(stream.isDone());
+        BOOST_TEST(stream.content() == expectedContent("long-" + std::to_string(i), 600));
+    }
+    BOOST_TEST(deployment.waitForEnd(leaving).value_or(-1) == 0);
+    BOOST_TEST(deployment.runs("long-0", "cancelled") == 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
