--- a/libs/experts/include/experts/rebalancedecision.h
+++ b/libs/experts/include/experts/rebalancedecision.h
@@ -43,7 +43,7 @@
         double bytesPerExpert = 0; ///< Weights of one replica in one layer.
         std::uint32_t slotsPerRank = 0;
         std::uint32_t minReplicas = 2;
-        Duration horizon{120000}; ///< How long the saving is expected to last.
+        Duration horizon{40000}; ///< How long the saving is expected to last.
         Duration stall{20}; ///< How long one switch holds the group's steps.
         double gigabytesPerStallSecond = 20; ///< What a second of held steps weighs against bytes.
         double hysteresis = 0.25; ///< The benefit must exceed the cost by this part of it.
--- a/libs/experts/src/layerplacement.cpp
+++ b/libs/experts/src/layerplacement.cpp
@@ -12,7 +12,7 @@
 
 // Extra replicas are tried on so many of the fastest ranks only; the others would not gain more, and a decision at
 // 128 ranks has to stay well under 10 ms.
-constexpr std::size_t FastRanksTried = 16;
+constexpr std::size_t FastRanksTried = 4;
 // A gain below this is rounding, and following it would never end.
 constexpr double SmallestGain = 1e-9;
 
--- a/libs/experts/src/rebalancedecision.cpp
+++ b/libs/experts/src/rebalancedecision.cpp
@@ -1,5 +1,7 @@
 #include "experts/rebalancedecision.h"
 
+#include <utility>
+
 namespace magnolia::experts
 {
 
@@ -28,10 +30,10 @@
     std::optional<RebalancePlan> best;
     // Stopping early is weighed as well: the first moves save most, later ones may cost more than they save.
     for (const PlacementStep &step : placement.improve(current, demand, options_.maxMoves)) {
-        const RebalancePlan plan = weigh(step, skewBefore);
+        RebalancePlan plan = weigh(step, skewBefore);
         const bool isWorthIt = plan.benefit > plan.cost * (1 + options_.hysteresis) && skewBefore - plan.skewAfter >= options_.smallestGain;
         if (isWorthIt && (!best || plan.benefit - plan.cost > best->benefit - best->cost)) {
-            best = plan;
+            best = std::move(plan);
         }
     }
     return best;
