--- a/tests/path/tests/stoptest.cpp
+++ b/tests/path/tests/stoptest.cpp
@@ -115,6 +115,7 @@
 BOOST_AUTO_TEST_CASE(agent_toldToStopWithStreamsInProgress_getsNoNewWorkAndCutsNothingOff)
 {
     std::vector<CallPtr> streams;
+    streams.reserve(8);
     for (int i = 0; i < 8; ++i) {
         streams.push_back(
             deployment.caller.start(entryAddress(static_cast<std::size_t>(i)), chatRequest(PayingKey, "guide", "long-" + std::to_string(i), true)));
