--- a/libs/ctl/tests/ctltest.cpp
+++ b/libs/ctl/tests/ctltest.cpp
@@ -5,7 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -162,7 +162,8 @@
         std::ifstream in(Example);
         std::string text(std::istreambuf_iterator<char>(in), {});
         text.replace(text.find(from), from.size(), to);
-        std::string name = "ctltest-" + std::to_string(std::hash<std::string>{}(to)) + ".toml";
+        const std::string file = "ctltest-" + std::to_string(std::hash<std::string>{}(to)) + ".toml";
+        std::string name = std::filesystem::temp_directory_path() / file;
         std::ofstream(name) << text;
         return name;
     }
