engine: expert endpoints of a rank, by the client and the stand-in

Cause: the switch protocol is proved against a model of the engine that no stand-in was like: it had no "pending", no join, stepped before its first epoch, gave the step to run next for the last one begun, and refused a commit that docs/INTERFACES.md calls without effect. The stand-in now keeps the checker's rules, and EngineClient reads the state back (over a connection only for reads, so that an old state cannot come after a newer one), orders load, prepare, commit, abort and join, and tells an old fencing number from a state that forbids the order.

Ruled out: a default for "pending" (an engine of an older make would seem ready for the next map); one pool for reads and orders.

Conclusion: endpoints and calls stand; nothing in the agent uses them yet.

--- a/libs/engine/include/engine/engineclient.h
+++ b/libs/engine/include/engine/engineclient.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/failure.h"
 #include "engine/enginestate.h"
+#include "engine/expertorders.h"
 #include "http/httpclient.h"
 
 #include <cstddef>
@@ -93,6 +94,16 @@
     /** A refusal has StaleFence (old fencing number), RateLimited (weight store, with retryAfter) or NotFound. */
     void order(const EngineOrder &order, std::uint64_t fence, std::function<void(Result<void>)> done);
 
+    /** Reads the rank's state back, over a connection that only these reads use: answers come in the order of the calls. */
+    void fetchExperts(std::function<void(Result<ExpertStatus>)> done);
+
+    /**
+     * A refusal has StaleFence, RateLimited (weight store, with retryAfter), Conflict (the engine's state forbids it) or
+     * NotFound (the engine is in no group). Success tells that the order was taken; what became of it is read back.
+     * An order that cannot be encoded is answered BadInput from within the call.
+     */
+    void orderExperts(const experts::EngineOrder &order, std::uint64_t fence, std::function<void(Result<void>)> done);
+
     /** Asks GET /health over a connection that was never used before. */
     void probe(std::function<void(bool alive)> done);
 
--- a/libs/engine/src/engineclient.cpp
+++ b/libs/engine/src/engineclient.cpp
@@ -58,6 +58,32 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+/** What an answer of 409 means. */
+enum class ConflictMeaning : std::uint8_t {
+    StaleFence, ///< The order's fencing number is old.
+    ToldByBody, ///< That, if the body names the highest one; otherwise the engine's state forbids the order.
+};
+
+Result<void> outcomeOfOrder(const http::Response &response, ConflictMeaning conflict)
+{
+    switch (response.status) {
+    case StatusOk:
+        return {};
+    case StatusConflict:
+        if (conflict == ConflictMeaning::StaleFence || isStaleFence(response.body)) {
+            return fail(ErrorCode::StaleFence, Verdict::NotRun, "the engine knows a higher fencing number");
+        }
+        return fail(ErrorCode::Conflict, Verdict::NotRun, "the engine's state forbids the order");
+    case StatusTooManyRequests:
+        return tl::unexpected(Failure{
+            .code = ErrorCode::RateLimited, .verdict = Verdict::NotRun, .detail = "the weight store refuses", .retryAfter = retryAfterOf(response.headers)});
+    case StatusNotFound:
+        return fail(ErrorCode::NotFound, Verdict::NotRun, "the engine has no such model or group");
+    default:
+        return fail(ErrorCode::EndpointError, Verdict::MayHaveRun, "the engine answered an order with " + std::to_string(response.status));
+    }
+}
+
 } // namespace
 
 class EngineClient::Impl
@@ -69,6 +95,7 @@
         , calls_(loop, {.address = options_.address, .maxConnections = options_.maxConnections, .maxBodyBytes = options_.maxBodyBytes})
         , probes_(loop, {.address = options_.address, .maxConnections = MaxProbes, .connectTimeout = options_.probeTimeout})
         , control_(loop, {.address = options_.address, .maxConnections = 2})
+        , expertReads_(loop, {.address = options_.address, .maxConnections = 1})
     {
     }
 
@@ -77,6 +104,8 @@
     void cancel(CallId call);
     void fetchState(std::function<void(Result<EngineState>)> done);
     void order(const EngineOrder &order, std::uint64_t fence, std::function<void(Result<void>)> done);
+    void fetchExperts(std::function<void(Result<ExpertStatus>)> done);
+    void orderExperts(const experts::EngineOrder &order, std::uint64_t fence, std::function<void(Result<void>)> done);
     void probe(std::function<void(bool)> done);
 
 private:
@@ -108,6 +137,7 @@
     void onProbed(CallId id, std::uint32_t chunksBefore, bool alive);
     void finish(CallId id, Result<Completion> result);
     Call *find(CallId id);
+    void sendOrder(std::string path, std::string body, ConflictMeaning conflict, std::function<void(Result<void>)> done);
     void noteLostConnection(const Failure &failure);
 
     event_base *loop_;
@@ -116,6 +146,8 @@
     http::HttpClient calls_;
     http::HttpClient probes_;
     http::HttpClient control_;
+    // Its one connection keeps reads in order: a vote must not be read from a state older than one that was acted on.
+    http::HttpClient expertReads_;
     std::unordered_map<CallId, std::shared_ptr<Call>> open_;
     CallId lastCall_ = 0;
 };
@@ -379,40 +411,53 @@
 }
 
 void EngineClient::Impl::order(const EngineOrder &order, std::uint64_t fence, std::function<void(Result<void>)> done)
+{
+    sendOrder("/control/orders", encodeOrder(order, fence), ConflictMeaning::StaleFence, std::move(done));
+}
+
+void EngineClient::Impl::sendOrder(std::string path, std::string body, ConflictMeaning conflict, std::function<void(Result<void>)> done)
 {
     control_.send({.method = "POST",
-                   .path = "/control/orders",
+                   .path = std::move(path),
                    .headers = {{"content-type", "application/json"}},
-                   .body = encodeOrder(order, fence),
+                   .body = std::move(body),
                    .timeout = options_.controlTimeout},
-                  [this, done = std::move(done)](const Result<http::Response> &response) {
+                  [this, conflict, done = std::move(done)](const Result<http::Response> &response) {
                       if (!response) {
                           control_.closeIdle();
                           done(tl::unexpected(response.error()));
-                          return;
-                      }
-                      switch (response->status) {
-                      case StatusOk:
-                          done({});
-                          return;
-                      case StatusConflict:
-                          done(fail(ErrorCode::StaleFence, Verdict::NotRun, "the engine knows a higher fencing number"));
-                          return;
-                      case StatusTooManyRequests:
-                          done(tl::unexpected(Failure{.code = ErrorCode::RateLimited,
-                                                      .verdict = Verdict::NotRun,
-                                                      .detail = "the weight store refuses",
-                                                      .retryAfter = retryAfterOf(response->headers)}));
-                          return;
-                      case StatusNotFound:
-                          done(fail(ErrorCode::NotFound, Verdict::NotRun, "the engine has no such model"));
-                          return;
-                      default:
-                          done(fail(ErrorCode::EndpointError, Verdict::MayHaveRun, "the engine answered an order with " + std::to_string(response->status)));
+                      } else {
+                          done(outcomeOfOrder(*response, conflict));
                       }
                   });
 }
 
+void EngineClient::Impl::fetchExperts(std::function<void(Result<ExpertStatus>)> done)
+{
+    expertReads_.send({.path = "/control/experts", .timeout = options_.controlTimeout}, [this, done = std::move(done)](const Result<http::Response> &response) {
+        if (!response) {
+            expertReads_.closeIdle();
+            done(tl::unexpected(response.error()));
+        } else if (response->status == StatusNotFound) {
+            done(fail(ErrorCode::NotFound, Verdict::Ran, "the engine is in no group"));
+        } else if (response->status != StatusOk) {
+            done(fail(ErrorCode::EndpointError, Verdict::Ran, "the expert state came with status " + std::to_string(response->status)));
+        } else {
+            done(parseExpertStatus(response->body));
+        }
+    });
+}
+
+void EngineClient::Impl::orderExperts(const experts::EngineOrder &order, std::uint64_t fence, std::function<void(Result<void>)> done)
+{
+    auto request = encodeExpertOrder(order, fence);
+    if (!request) {
+        done(tl::unexpected(request.error()));
+        return;
+    }
+    sendOrder(std::move(request->path), std::move(request->body), ConflictMeaning::ToldByBody, std::move(done));
+}
+
 EngineClient::EngineClient(event_base *loop, Options options) : impl_(std::make_unique<Impl>(loop, std::move(options))) {}
 
 EngineClient::~EngineClient() = default;
@@ -442,6 +487,16 @@
     impl_->order(order, fence, std::move(done));
 }
 
+void EngineClient::fetchExperts(std::function<void(Result<ExpertStatus>)> done)
+{
+    impl_->fetchExperts(std::move(done));
+}
+
+void EngineClient::orderExperts(const experts::EngineOrder &order, std::uint64_t fence, std::function<void(Result<void>)> done)
+{
+    impl_->orderExperts(order, fence, std::move(done));
+}
+
 void EngineClient::probe(std::function<void(bool)> done)
 {
     impl_->probe(std::move(done));
--- a/tests/standins/src/expertrank.h
+++ b/tests/standins/src/expertrank.h
@@ -16,7 +16,8 @@
 /**
  * An engine's part in a group of ranks: its steps, the expert map that they run on, and the map prepared to follow.
  *
- * The engine alone keeps the prepared map, so that an agent that restarts can read it back.
+ * The engine alone keeps the prepared map, so that an agent that restarts can read it back. It steps by its own clock from
+ * its first epoch on and does not wait for other ranks: docs/EXPERT-MAPS.md says what follows from that.
  */
 class ExpertRank
 {
@@ -29,7 +30,7 @@
 
     explicit ExpertRank(Options options);
 
-    /** Runs one step, unless held. */
+    /** Runs one step, unless held or in no epoch yet. */
     void step();
 
     /** The experts' popularity moves on by so many experts. */
@@ -43,39 +44,58 @@
         loaded_.insert(map);
     }
 
+    bool isLoaded(std::uint64_t map) const
+    {
+        return loaded_.contains(map);
+    }
+
+    std::uint64_t epoch() const
+    {
+        return epoch_;
+    }
+
     Json toJson() const;
 
-    /** @return the map of each step so far, as `[{"from_step", "map"}]`. */
+    /** @return the map of each step that was run, as `[{"from_step", "map", "epoch"}]`. */
     Json history() const;
 
-    /** Each returns nothing if it was done, or why not. Idempotent. */
+    /** Holds before a step. @return nothing if it was done, or why not. Idempotent. */
     std::optional<std::string> prepare(std::uint64_t map, std::uint64_t epoch, std::uint64_t holdStep);
-    std::optional<std::string> commit(std::uint64_t map, std::uint64_t epoch);
-    std::optional<std::string> abort(std::uint64_t map, std::uint64_t epoch);
+
+    /** Without effect for a map that is not prepared. */
+    void commit(std::uint64_t map, std::uint64_t epoch);
+
+    /** Without effect for a map that is not prepared. */
+    void abort(std::uint64_t map, std::uint64_t epoch);
+
+    /** Goes on in an epoch, with a map that has been loaded. Without effect if the epoch is not higher than the engine's. */
+    void join(std::uint64_t map, std::uint64_t epoch, std::uint64_t step);
 
 private:
     struct Prepared {
         std::uint64_t map = 0;
-        std::uint64_t epoch = 0;
         std::uint64_t holdStep = 0;
-        bool isCommitted = false;
     };
 
     struct MapUse {
         std::uint64_t fromStep = 0;
         std::uint64_t map = 0;
+        std::uint64_t epoch = 0;
     };
 
-    void switchIfDue();
+    bool isPrepared(std::uint64_t map, std::uint64_t epoch) const;
+    void recordUse();
 
     Options options_;
-    std::uint64_t step_ = 0; ///< The next one to run.
-    std::uint64_t epoch_ = 0;
-    std::uint64_t map_ = 0;
-    std::set<std::uint64_t> loaded_{0};
-    std::optional<Prepared> prepared_;
+    std::uint64_t step_ = 0; ///< The last one begun.
+    std::uint64_t epoch_ = 0; ///< 0: none joined yet.
+    std::uint64_t map_ = 0; ///< The last one committed or joined with.
+    std::uint64_t mapInUse_ = 0; ///< That steps run on.
+    std::set<std::uint64_t> loaded_;
+    std::optional<Prepared> prepared_; ///< Held for, fate unknown.
+    std::optional<Prepared> committed_; ///< Takes over at its hold step.
     std::vector<std::uint64_t> load_;
-    std::vector<MapUse> history_{{}};
+    std::vector<MapUse> history_;
     std::size_t shift_ = 0;
 };
 
--- a/tests/standins/src/modelengine.cpp
+++ b/tests/standins/src/modelengine.cpp
@@ -351,26 +351,34 @@
     const auto map = request.at("map").get<std::uint64_t>();
     const auto epoch = request.at("epoch").get<std::uint64_t>();
     const std::uint64_t holdStep = action == "prepare" ? request.at("hold_step").get<std::uint64_t>() : 0;
+    const std::uint64_t firstStep = action == "join" ? request.at("step").get<std::uint64_t>() : 0;
+    const bool hasMap = action == "load" || action == "join";
+    if (hasMap && !request.at("layers").is_array()) {
+        replyError(*exchange, 400, "layers is no array");
+        return;
+    }
+    // Also for an abort of map 0, which is given for nothing but the fencing number that it raises.
     if (!admitOrder(exchange, request.at("fence").get<std::uint64_t>())) {
         return;
     }
     if (action == "load") {
-        loadWeights(exchange, [this, map, boot = boot_] {
-            scheduler_.after(options_.loadTime, [this, map, boot] {
-                if (boot == boot_) {
-                    expertRank_.mapLoaded(map);
-                }
-            });
-        });
+        loadMap(exchange, map);
+        return;
+    }
+    if (action == "join") {
+        joinEpoch(exchange, map, epoch, firstStep);
         return;
     }
-    std::optional<std::string> refused = "no such action";
+    std::optional<std::string> refused;
     if (action == "prepare") {
         refused = expertRank_.prepare(map, epoch, holdStep);
     } else if (action == "commit") {
-        refused = expertRank_.commit(map, epoch);
+        expertRank_.commit(map, epoch);
     } else if (action == "abort") {
-        refused = expertRank_.abort(map, epoch);
+        expertRank_.abort(map, epoch);
+    } else {
+        replyError(*exchange, 404, "no such order");
+        return;
     }
     if (refused) {
         replyError(*exchange, 409, *refused);
@@ -379,12 +387,51 @@
     }
 }
 
+// An order that is repeated while the map is on its way costs the weight store nothing.
+void ModelEngine::loadMap(const ExchangePtr &exchange, std::uint64_t map)
+{
+    if (expertRank_.isLoaded(map) || loadingMaps_.contains(map)) {
+        replyJson(*exchange, 200, Json::object());
+        return;
+    }
+    loadWeights(exchange, [this, map, boot = boot_] {
+        loadingMaps_.insert(map);
+        scheduler_.after(options_.loadTime, [this, map, boot] {
+            if (boot == boot_) {
+                loadingMaps_.erase(map);
+                expertRank_.mapLoaded(map);
+            }
+        });
+    });
+}
+
+void ModelEngine::joinEpoch(const ExchangePtr &exchange, std::uint64_t map, std::uint64_t epoch, std::uint64_t step)
+{
+    if (epoch <= expertRank_.epoch()) {
+        replyError(*exchange, 409, "the epoch is not higher than the engine's");
+        return;
+    }
+    if (expertRank_.isLoaded(map)) {
+        expertRank_.join(map, epoch, step);
+        replyJson(*exchange, 200, Json::object());
+        return;
+    }
+    loadWeights(exchange, [this, map, epoch, step, boot = boot_] {
+        scheduler_.after(options_.loadTime, [this, map, epoch, step, boot] {
+            if (boot == boot_) {
+                expertRank_.join(map, epoch, step);
+            }
+        });
+    });
+}
+
 void ModelEngine::restart()
 {
     boot_ = std::to_string(getpid()) + "-" + std::to_string(++boots_);
     models_.clear();
     cache_.clear();
     expertRank_ = ExpertRank(options_.expertRank);
+    loadingMaps_.clear();
     role_ = "any";
     fence_ = 0;
     const std::list<std::shared_ptr<Stream>> open = [this] {
--- a/tests/standins/src/modelengine.h
+++ b/tests/standins/src/modelengine.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -123,6 +124,8 @@
     void answerOrder(const ExchangePtr &exchange);
     void answerExperts(const ExchangePtr &exchange);
     void changeExperts(const ExchangePtr &exchange, const Json &request);
+    void loadMap(const ExchangePtr &exchange, std::uint64_t map);
+    void joinEpoch(const ExchangePtr &exchange, std::uint64_t map, std::uint64_t epoch, std::uint64_t step);
 
     /** @return false if the order's fencing number is old and this engine minds; the exchange has then been answered. */
     bool admitOrder(const ExchangePtr &exchange, std::uint64_t fence);
@@ -142,6 +145,7 @@
     PrefixCache cache_;
     ModelRegistry models_;
     ExpertRank expertRank_;
+    std::set<std::uint64_t> loadingMaps_;
     std::string role_ = "any";
     std::string boot_;
     std::uint64_t boots_ = 0;
