--- a/tests/path/src/deployment.cpp
+++ b/tests/path/src/deployment.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -17,6 +18,7 @@
 {
 
 constexpr Duration StartLimit{20000};
+constexpr Duration CtlLimit{40000}; ///< magnoliactl gives up by itself after 30 s.
 constexpr Duration PollPause{20};
 constexpr std::size_t TailBytes = 4000;
 constexpr std::string_view LinkSecret = "path-test-link-secret";
@@ -57,6 +59,7 @@
     }
     if (options_.hasBooking) {
         booking_ = makeStandIn("bookings-1", MAGNOLIA_STANDIN_ENGINE, {"--service"});
+        booking_->relay = makeRelay(*booking_);
         agents_.push_back(makeAgent("bookings-1", *booking_));
     }
     for (std::size_t i = 0; i < options_.entries; ++i) {
@@ -109,18 +112,61 @@
 
 CtlResult Deployment::apply(const Json &document)
 {
-    const std::string file = writeFile("manifest.json", document.dump(2));
-    return runCtl({"apply", "--wait", file});
+    return runCtl({"apply", "--wait", writeManifest(document)});
+}
+
+std::string Deployment::writeManifest(const Json &document, const std::string &name) const
+{
+    return writeFile(name + ".json", document.dump(2));
 }
 
 CtlResult Deployment::runCtl(const std::vector<std::string> &arguments)
 {
-    std::vector<std::string> all = {"--settings", writeCtlSettings()};
-    all.insert(all.end(), arguments.begin(), arguments.end());
-    const boost::filesystem::path log = folder_ / fmt::format("magnoliactl-{}.log", ++ctlRuns_);
-    Process process({.program = MAGNOLIA_CTL, .arguments = all, .logFile = log.string()});
-    loop.runUntil([&process] { return !process.isRunning(); }, StartLimit);
-    return {.exitCode = process.exitCode().value_or(-1), .output = readFile(log)};
+    return runCtlAtOnce({arguments}).front();
+}
+
+std::vector<CtlResult> Deployment::runCtlAtOnce(const std::vector<std::vector<std::string>> &arguments)
+{
+    const std::string settings = writeCtlSettings();
+    std::vector<Process> processes;
+    std::vector<boost::filesystem::path> logs;
+    for (const auto &own : arguments) {
+        std::vector<std::string> all = {"--settings", settings};
+        all.insert(all.end(), own.begin(), own.end());
+        logs.push_back(folder_ / fmt::format("magnoliactl-{}.log", ++ctlRuns_));
+        processes.emplace_back(Process::Options{.program = MAGNOLIA_CTL, .arguments = all, .logFile = logs.back().string()});
+    }
+    const auto hasEnded = [](Process &process) { return !process.isRunning(); };
+    loop.runUntil([&] { return std::all_of(processes.begin(), processes.end(), hasEnded); }, CtlLimit);
+    std::vector<CtlResult> results;
+    for (std::size_t i = 0; i < processes.size(); ++i) {
+        results.push_back({.exitCode = processes[i].exitCode().value_or(-1), .output = readFile(logs[i])});
+    }
+    return results;
+}
+
+std::map<std::string, std::uint64_t> Deployment::versions()
+{
+    CallerRequest request;
+    request.method = "GET";
+    request.path = "/status";
+    request.timeout = Duration{1000};
+    std::map<std::string, CallPtr> calls;
+    for (const auto *members : {&entries_, &agents_}) {
+        for (const MemberPtr &member : *members) {
+            calls[member->name] = caller.start(member->operators.address(), request);
+        }
+    }
+    const auto hasEnded = [](const auto &call) { return call.second->isEnded; };
+    loop.runUntil([&] { return std::all_of(calls.begin(), calls.end(), hasEnded); });
+    std::map<std::string, std::uint64_t> versions;
+    for (const auto &[name, call] : calls) {
+        const Json status = Json::parse(call->body, nullptr, false);
+        if (call->status == 200 && status.is_object()) {
+            versions[name] = status["manifest"].value("version", std::uint64_t{0});
+        }
+    }
+    return versions;
 }
 
 void Deployment::startMember(Member &member)
@@ -159,6 +205,29 @@
     startMember(agent);
 }
 
+void Deployment::setFaults(const Member &standIn, const Json &faults)
+{
+    require(caller.post(standIn.work.address(), "/test/faults", faults).status == 200, standIn.name + " takes no faults");
+}
+
+std::map<std::string, int> Deployment::timesBegun()
+{
+    std::vector<const Member *> counting;
+    std::for_each(engines_.begin(), engines_.end(), [&counting](const MemberPtr &engine) { counting.push_back(engine.get()); });
+    if (booking_) {
+        counting.push_back(booking_.get());
+    }
+    std::map<std::string, int> total;
+    for (const Member *member : counting) {
+        const Json counts = Json::parse(caller.get(member->work.address(), "/test/counts").body, nullptr, false);
+        require(counts.is_object() && counts.contains("runs"), member->name + " gives no counts");
+        for (const auto &[marker, run] : counts["runs"].items()) {
+            total[marker] += run.value("begun", 0);
+        }
+    }
+    return total;
+}
+
 int Deployment::runs(const std::string &marker, const std::string &what)
 {
     std::vector<const Member *> counting;
@@ -177,6 +246,15 @@
     return total;
 }
 
+// The relays live on the test's own loop, so they stand still while it does not turn.
+std::unique_ptr<standins::Relay> Deployment::makeRelay(const Member &target) const
+{
+    if (!options_.hasRelays) {
+        return nullptr;
+    }
+    return std::make_unique<standins::Relay>(loop.get(), standins::Relay::Options{.target = target.work.address()});
+}
+
 Deployment::MemberPtr Deployment::makeMember(const std::string &name, const std::string &program) const
 {
     auto member = std::make_unique<Member>();
@@ -197,12 +275,15 @@
 {
     std::vector<std::string> arguments = {"--tokens", std::to_string(options_.pieces), "--token-interval-ms", std::to_string(options_.pieceInterval.count())};
     arguments.insert(arguments.end(), options_.engineArguments.begin(), options_.engineArguments.end());
-    return makeStandIn(name, MAGNOLIA_STANDIN_ENGINE, arguments);
+    auto member = makeStandIn(name, MAGNOLIA_STANDIN_ENGINE, arguments);
+    member->relay = makeRelay(*member);
+    return member;
 }
 
 Deployment::MemberPtr Deployment::makeEntry(const std::string &name) const
 {
     auto member = makeMember(name, MAGNOLIA_ENTRY);
+    member->platformRelay = makeRelay(*platform_);
     const std::string settings = fmt::format(R"([instance]
 name = "{}"
 data_centre = "north"
@@ -224,7 +305,7 @@
                                              member->operators.address(),
                                              OperatorsKey,
                                              LinkSecret,
-                                             platformSection(),
+                                             platformSection(member->platformRelay ? member->platformRelay->address() : platform_->work.address()),
                                              options_.stopLag.count());
     member->command.arguments = {"--settings", writeFile(name + ".toml", settings)};
     return member;
@@ -234,6 +315,8 @@
 {
     const std::string name = "agent-" + endpoint;
     auto member = makeMember(name, MAGNOLIA_AGENT);
+    member->relay = makeRelay(*member);
+    member->platformRelay = makeRelay(*platform_);
     const std::string settings = fmt::format(R"([instance]
 name = "{}"
 data_centre = "north"
@@ -252,12 +335,12 @@
 )",
                                              name,
                                              endpoint,
-                                             backEnd.work.address(),
+                                             backEnd.reachedAt(),
                                              member->operators.address(),
                                              OperatorsKey,
                                              member->work.address(),
                                              LinkSecret,
-                                             platformSection());
+                                             platformSection(member->platformRelay ? member->platformRelay->address() : platform_->work.address()));
     member->command.arguments = {"--settings", writeFile(name + ".toml", settings)};
     return member;
 }
@@ -270,7 +353,7 @@
     request.body = Json{
         {"role", role},
         {"endpoint", endpoint},
-        {"address", member.work.address()},
+        {"address", member.reachedAt()},
         {"operators", member.operators.address()},
         {"data_centre", "north"},
         {"leaving",
@@ -309,11 +392,9 @@
     }
 }
 
-std::string Deployment::platformSection() const
+std::string Deployment::platformSection(const std::string &address) const
 {
-    return fmt::format("[platform]\ntable = \"{0}\"\nobjects = \"{0}\"\ninstances = \"{0}\"\npoll_interval_ms = {1}",
-                       platform_->work.address(),
-                       options_.pollInterval.count());
+    return fmt::format("[platform]\ntable = \"{0}\"\nobjects = \"{0}\"\ninstances = \"{0}\"\npoll_interval_ms = {1}", address, options_.pollInterval.count());
 }
 
 std::string Deployment::writeFile(const std::string &name, const std::string &text) const
@@ -331,7 +412,8 @@
             addresses += fmt::format("\"{}\", ", member->operators.address());
         }
     }
-    return writeFile("magnoliactl.toml", fmt::format("[operators]\naddresses = [{}]\nkey = \"{}\"\n{}\n", addresses, OperatorsKey, platformSection()));
+    return writeFile("magnoliactl.toml",
+                     fmt::format("[operators]\naddresses = [{}]\nkey = \"{}\"\n{}\n", addresses, OperatorsKey, platformSection(platform_->work.address())));
 }
 
 void Deployment::printLogs() const
--- a/tests/path/src/deployment.h
+++ b/tests/path/src/deployment.h
@@ -4,12 +4,15 @@
 #include "caller.h"
 #include "manifestdocument.h"
 #include "process.h"
+#include "relay.h"
 #include "reservedport.h"
 #include "testloop.h"
 
 #include <boost/filesystem/path.hpp>
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +29,7 @@
     Duration pieceInterval{2};
     std::vector<std::string> engineArguments{}; ///< Further arguments of each standin-engine.
     std::vector<std::string> platformArguments{}; ///< Further arguments of the standin-platform.
+    bool hasRelays = false; ///< Every connection between two processes goes through a relay, which can fail it.
     Duration stopLag{500}; ///< How long a stopping entry still takes work, for the balancer.
     Duration pollInterval{300}; ///< Of the manifest's head and of the list of instances.
     std::size_t maxBodyBytes = 64U << 10U; ///< Of a caller.
@@ -38,6 +42,14 @@
     ReservedPort work; ///< An entry's callers, an agent's links, a stand-in's only address.
     ReservedPort operators;
     std::unique_ptr<Process> process;
+    std::unique_ptr<standins::Relay> relay; ///< Between an agent and its entries, or an endpoint and its agent.
+    std::unique_ptr<standins::Relay> platformRelay; ///< Between a daemon and the platform.
+
+    /** @return where the other processes reach it: its relay, or itself. */
+    std::string reachedAt() const
+    {
+        return relay ? relay->address() : work.address();
+    }
 };
 
 /** What a run of magnoliactl gave. */
@@ -73,6 +85,15 @@
     CtlResult apply(const Json &manifest);
     CtlResult runCtl(const std::vector<std::string> &arguments);
 
+    /** Runs several magnoliactl at once, as rival operators do. @return their results in the same order. */
+    std::vector<CtlResult> runCtlAtOnce(const std::vector<std::vector<std::string>> &arguments);
+
+    /** Writes a manifest into the deployment's folder. @return the file's name. */
+    std::string writeManifest(const Json &document, const std::string &name = "manifest") const;
+
+    /** Asks every entry and agent for its manifest version. @return by name; 0: none yet; no value for one that is silent. */
+    std::map<std::string, std::uint64_t> versions();
+
     void startMember(Member &member);
 
     /** Waits until it has ended. @return the exit code; nothing if it still runs at the limit. */
@@ -112,6 +133,22 @@
     {
         return agents_.size();
     }
+    std::size_t engineCount() const
+    {
+        return engines_.size();
+    }
+
+    /** @return the agent beside the booking service. */
+    Member &bookingAgent()
+    {
+        return *agents_.back();
+    }
+
+    /** Switches faults of a stand-in. @param faults as its `POST /test/faults` takes them. */
+    void setFaults(const Member &standIn, const Json &faults);
+
+    /** @return how often each marker's request has begun at all engines and the booking service. */
+    std::map<std::string, int> timesBegun();
 
     /** @return how often a marker's request began, ended or was cancelled at all engines and the booking service. */
     int runs(const std::string &marker, const std::string &what);
@@ -123,6 +160,7 @@
 private:
     using MemberPtr = std::unique_ptr<Member>;
 
+    std::unique_ptr<standins::Relay> makeRelay(const Member &target) const;
     MemberPtr makeMember(const std::string &name, const std::string &program) const;
     MemberPtr makeStandIn(const std::string &name, const std::string &program, const std::vector<std::string> &arguments) const;
     MemberPtr makeEngine(const std::string &name) const;
@@ -131,7 +169,7 @@
     void registerInstance(const Member &member, const std::string &role, const std::string &endpoint);
     void waitForAnswer(const Member &member);
     void waitForService(const Member &entry);
-    std::string platformSection() const;
+    std::string platformSection(const std::string &address) const;
     std::string writeFile(const std::string &name, const std::string &text) const;
     std::string writeCtlSettings() const;
     void printLogs() const;
--- a/tests/standins/src/bookingservice.cpp
+++ b/tests/standins/src/bookingservice.cpp
@@ -46,7 +46,7 @@
     counts_.begun(marker);
     const int run = counts_.timesBegun(marker);
     // A booking goes on when its caller hangs up: it has been made.
-    scheduler_.after(options_.runTime, [this, exchange, marker, run] { finish(exchange, marker, run); });
+    scheduler_.after(options_.runTime + Duration(faults_.answer_delay_ms), [this, exchange, marker, run] { finish(exchange, marker, run); });
 }
 
 void BookingService::finish(const ExchangePtr &exchange, const std::string &marker, int run)
--- a/tests/standins/src/bookingservice.h
+++ b/tests/standins/src/bookingservice.h
@@ -14,11 +14,12 @@
 
 struct BookingFaults {
     int delay_ms = 0; // NOLINT(readability-identifier-naming): the names of the JSON fields.
+    int answer_delay_ms = 0; // NOLINT(readability-identifier-naming): from the run to its answer.
     int lose_replies = 0; // NOLINT(readability-identifier-naming): the next N calls run, and the connection is cut.
     int fail_status = 0; // NOLINT(readability-identifier-naming): calls run and are answered so; 0: none.
     bool health_down = false; // NOLINT(readability-identifier-naming)
 
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE(BookingFaults, delay_ms, lose_replies, fail_status, health_down)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(BookingFaults, delay_ms, answer_delay_ms, lose_replies, fail_status, health_down)
 };
 
 /**
