Measure what control costs a daemon at several sizes

scripts/capacity.sh puts a crowd of peers around one real entry or agent and fits a line through processor time, bytes and memory against links, endpoints, organisations, requests and manifest changes.

Ruled out: /proc/PID/io for the bytes, since it showed 50 B a link and second where the kernel's own count for the connection showed 69; clock ticks for processor time, since 10 ms are 0.3% of a core in a short run. The kernel's counts per connection (ss) and the scheduler's run time are taken instead.

--- a/benchmarks/capacity/entrycrowd.cpp
+++ b/benchmarks/capacity/entrycrowd.cpp
@@ -15,7 +15,9 @@
     {
         for (std::uint32_t index = 0; index < options.count; ++index) {
             wire::LinkOptions linkOptions;
-            linkOptions.self = {.role = wire::Role::Entry, .instance = fmt::format("crowd-entry-{}", index), .dataCentre = "north"};
+            linkOptions.self.role = wire::Role::Entry;
+            linkOptions.self.instance = fmt::format("crowd-entry-{}", index);
+            linkOptions.self.dataCentre = "north";
             linkOptions.keys = {options.key};
             const wire::LinkDialer::Callbacks callbacks = {
                 .onUp = [this](const wire::PeerInfo & /*peer*/) { countUp(); },
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -11,13 +11,16 @@
 fi
 scripts/build.sh
 
-bin=build/bin
+entry=build/apps/magnolia-entry/magnolia-entry
+agent=build/apps/magnolia-agent/magnolia-agent
+ctl=build/apps/magnoliactl/magnoliactl
+standins=build/tests/standins
 crowd=build/benchmarks/capacity/capacity-crowd
 work=$(mktemp -d)
 secret=0123456789abcdef0123456789abcdef
 bearer=capacity-key
 key_hash=$(printf %s "$bearer" | sha256sum | cut -d' ' -f1)
-ticks_per_second=$(getconf CLK_TCK)
+header_bytes=52 # IPv4 and TCP with timestamps
 pids=()
 
 stop_all() {
@@ -71,7 +74,7 @@
 free_port() {
     # The kernel picks a port; it is free again when the stand-in that asked for it has gone.
     local log=port.$RANDOM pid
-    build/bin/standin-platform --address 127.0.0.1:0 >"$work/$log" 2>&1 &
+    "$standins/standin-platform" --address 127.0.0.1:0 >"$work/$log" 2>&1 &
     pid=$!
     for _ in $(seq 100); do
         grep -q listening "$work/$log" && break
@@ -100,7 +103,7 @@
 }
 
 start_platform() {
-    start platform.log "$bin/standin-platform" --address 127.0.0.1:0
+    start platform.log "$standins/standin-platform" --address 127.0.0.1:0
     wait_for platform.log listening
     platform=$(sed -n 's/.*listening \([0-9.:]*\).*/\1/p' "$work/platform.log" | head -n 1)
     cat >"$work/ctl.toml" <<END
@@ -112,7 +115,7 @@
 }
 
 apply() {
-    "$bin/magnoliactl" apply --settings "$work/ctl.toml" "$work/manifest.toml" >"$work/apply.log" 2>&1 || {
+    "$ctl" apply --settings "$work/ctl.toml" "$work/manifest.toml" >"$work/apply.log" 2>&1 || {
         cat "$work/apply.log" >&2
         exit 1
     }
@@ -141,14 +144,14 @@
         printf '[links]\nkeys = [{ id = "bench", secret = "%s" }]\n' "$secret"
         common_settings "$operators_port"
     } >"$work/entry.toml"
-    start entry.log "$bin/magnolia-entry" --settings "$work/entry.toml"
+    start entry.log "$entry" --settings "$work/entry.toml"
     daemon=$started
 }
 
 start_agent() {
     links_port=$(free_port)
     operators_port=$(free_port)
-    start engine.log "$bin/standin-engine" --address 127.0.0.1:0
+    start engine.log "$standins/standin-engine" --address 127.0.0.1:0
     wait_for engine.log listening
     engine=$(sed -n 's/.*listening \([0-9.:]*\).*/\1/p' "$work/engine.log" | head -n 1)
     {
@@ -157,29 +160,45 @@
         printf '[links]\naddress = "127.0.0.1:%s"\nkeys = [{ id = "bench", secret = "%s" }]\n' "$links_port" "$secret"
         common_settings "$operators_port"
     } >"$work/agent.toml"
-    start agent.log "$bin/magnolia-agent" --settings "$work/agent.toml"
+    start agent.log "$agent" --settings "$work/agent.toml"
     daemon=$started
 }
 
-# sample: "CPU_TICKS BYTES" of the daemon so far. The bytes are all that it read and wrote by system calls.
+# sample: "RUN_NS PAYLOAD_BYTES SEGMENTS" of the daemon so far. The processor time is the scheduler's own count; bytes and
+# segments are the kernel's counts for the daemon's open TCP connections, both directions.
 sample() {
-    awk '{ print $14 + $15 }' "/proc/$daemon/stat" | tr '\n' ' '
-    awk '/^(rchar|wchar)/ { sum += $2 } END { print sum }' "/proc/$daemon/io"
+    cut -d' ' -f1 "/proc/$daemon/schedstat" | tr '\n' ' '
+    ss -tinpH | awk -v pid="pid=$daemon," '
+        /^[A-Z]/ { ours = index($0, pid) > 0 }
+        ours {
+            for (i = 1; i <= NF; ++i) {
+                split($i, field, ":")
+                if (field[1] == "bytes_sent" || field[1] == "bytes_received") bytes += field[2]
+                if (field[1] == "segs_in" || field[1] == "segs_out") segments += field[2]
+            }
+        }
+        END { print bytes + 0, segments + 0 }'
+}
+
+resident_mb() {
+    awk '/^VmRSS/ { print $2 / 1024 }' "/proc/$daemon/status"
 }
 
-# measure SERIES X: lets the daemon run and notes its share of a core in %, bytes/s and memory.
+# measure SERIES X: lets the daemon run and notes its share of a core in %, payload bytes/s, bytes/s with IP and TCP
+# headers, and memory.
 measure() {
-    local before after memory
-    sleep 2
+    local before after
+    sleep 3
     before=$(sample)
     sleep "$seconds"
     after=$(sample)
-    memory=$(awk '/^VmRSS/ { print $2 / 1024 }' "/proc/$daemon/status")
-    echo "$1 $2 $before $after $memory" | awk -v s="$seconds" -v hz="$ticks_per_second" \
-        '{ printf "%s %s %.3f %.0f %.2f\n", $1, $2, ($5 - $3) * 100 / hz / s, ($6 - $4) / s, $7 }' | tee -a "$work/points"
+    echo "$1 $2 $before $after $(resident_mb)" | awk -v s="$seconds" -v header="$header_bytes" '{
+        payload = ($7 - $4) / s
+        printf "%s %s %.3f %.0f %.0f %.2f\n", $1, $2, ($6 - $3) / 1e7 / s, payload, payload + header * ($8 - $5) / s, $9
+    }' | tee -a "$work/points"
 }
 
-echo "series x cpu_percent bytes_per_s rss_mb"
+echo "series x cpu_percent payload_bytes_per_s wire_bytes_per_s rss_mb"
 
 for links in 10 50 130; do
     start_platform
@@ -259,19 +278,18 @@
         sed -i "0,/tier = \"trial\"/s//tier = \"paying\"/" "$work/manifest.toml"
         apply
     done
-    sleep 12
+    sleep "$seconds"
     after=$(sample)
-    memory=$(awk '/^VmRSS/ { print $2 / 1024 }' "/proc/$daemon/status")
     in_force=$(curl -sf "http://127.0.0.1:$operators_port/status" | grep -o '"manifest":{[^}]*}' || true)
-    echo "entry_changes $changes $before $after $memory" | awk -v hz="$ticks_per_second" \
-        '{ printf "%s %s %.3f %.0f %.2f\n", $1, $2, ($5 - $3) * 1000 / hz, $6 - $4, $7 }' | tee -a "$work/points"
-    echo "  (cpu in ms, bytes in all over about 14 s; in force at the end: $in_force)"
+    echo "entry_changes $changes $before $after $(resident_mb)" |
+        awk '{ printf "%s %s %.3f %.0f %.0f %.2f\n", $1, $2, ($6 - $3) / 1e6, $7 - $4, $7 - $4, $9 }' | tee -a "$work/points"
+    echo "  (cpu in ms and bytes in all, not per second; in force at the end: $in_force)"
     stop_all
 done
 
 # A least-squares line through each series; the error is the largest distance of a point from it.
 awk '
-    { n[$1]++; x[$1, n[$1]] = $2; cpu[$1, n[$1]] = $3; bytes[$1, n[$1]] = $4; rss[$1, n[$1]] = $5 }
+    { n[$1]++; x[$1, n[$1]] = $2; cpu[$1, n[$1]] = $3; payload[$1, n[$1]] = $4; wire[$1, n[$1]] = $5; rss[$1, n[$1]] = $6 }
     function fit(series, values, unit,    i, sx, sy, sxx, sxy, count, slope, base, worst, off) {
         sx = sy = sxx = sxy = worst = 0
         count = n[series]
@@ -291,7 +309,8 @@
     END {
         for (series in n) {
             fit(series, cpu, "cpu")
-            fit(series, bytes, "bytes")
+            fit(series, payload, "payload")
+            fit(series, wire, "wire")
             fit(series, rss, "rss_mb")
         }
     }
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -9,6 +9,7 @@
     libtomlplusplus-dev nlohmann-json3-dev libexpected-dev
     libspdlog-dev libfmt-dev prometheus-cpp-dev
     libxxhash-dev libpcg-cpp-dev
+    iproute2
 )
 
 missing=()
