engine, entry: an engine's 404 and what a silent link swallowed are tried elsewhere; whole answers proved under failure

path_wholeanswer keeps 200 marked streams open while engines forget everything, stand still and are killed, agents are killed and links and engine connections go silent. It showed two faults, each with the promises kept but callers turned away for nothing:

An engine restarts empty; until its agent's next look at its state, requests still go there; it answers 404 for the model; the agent handed that on as the endpoint's own answer, so that callers got 404 with verdict "ran" for a model that two other engines served. 248 to 298 of some 2,300 streams. A link goes silent; what was sent into it is settled over the fresh link as not run; the retry was paid from the budget of refusals, which is a small share meant for overload, so that callers got 502 not-run with two engines well. 48 to 70 of some 3,800 streams. Now it is paid as a loss.

--- a/libs/engine/src/engineclient.cpp
+++ b/libs/engine/src/engineclient.cpp
@@ -268,6 +268,13 @@
         finish(id, fail(ErrorCode::EndpointError, Verdict::MayHaveRun, "the endpoint answered " + std::to_string(call->status)));
         return;
     }
+    if (call->status == StatusNotFound) {
+        // An engine that was restarted empty answers so until its agent has seen it and loads the models again. Given to
+        // the caller as the answer, a model that others serve would not exist for him.
+        const Verdict verdict = call->resumed ? Verdict::MayHaveRun : Verdict::NotRun;
+        finish(id, fail(ErrorCode::Unavailable, verdict, "the engine does not serve the model now"));
+        return;
+    }
     call->callbacks.onChunk(call->nextChunk++, call->errorBody);
     if (find(id) != nullptr) {
         finish(id, Completion{.status = call->status, .contentType = call->contentType, .chunks = call->nextChunk});
--- a/libs/entry/src/requesttracker.cpp
+++ b/libs/entry/src/requesttracker.cpp
@@ -31,7 +31,9 @@
 
 RetryReason retryReasonOf(const Failure &failure)
 {
-    if (failure.verdict != Verdict::NotRun) {
+    // What a silent link swallowed met no overload, although it did not run: the budget of refusals, which is a small share
+    // of the traffic, would turn most of a burst of them away while other endpoints are well.
+    if (failure.verdict != Verdict::NotRun || failure.code == ErrorCode::ConnectionLost) {
         return RetryReason::Lost;
     }
     const bool hasMoved = failure.code == ErrorCode::Leaving || failure.code == ErrorCode::StaleIncarnation || failure.code == ErrorCode::Unavailable;
