--- a/tests/standins/src/platformservice.cpp
+++ b/tests/standins/src/platformservice.cpp
@@ -249,6 +249,9 @@
     losesReply_ = faults_.lose_replies > 0;
     if (losesReply_) {
         --faults_.lose_replies;
+    } else if (faults_.lose_table_replies > 0 && exchange->path().starts_with("/table/")) {
+        --faults_.lose_table_replies;
+        losesReply_ = true;
     }
     return true;
 }
--- a/tests/standins/src/platformservice.h
+++ b/tests/standins/src/platformservice.h
@@ -23,6 +23,7 @@
     bool list_frozen = false; // NOLINT(readability-identifier-naming)
     int slow_ms = 0; // NOLINT(readability-identifier-naming)
     int lose_replies = 0; // NOLINT(readability-identifier-naming): the next N writes take effect, their replies don't come.
+    int lose_table_replies = 0; // NOLINT(readability-identifier-naming): as lose_replies, for writes of the table only.
     int drop_writes = 0; // NOLINT(readability-identifier-naming): the next N writes neither take effect nor are answered.
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(PlatformFaults,
@@ -34,6 +35,7 @@
                                    list_frozen,
                                    slow_ms,
                                    lose_replies,
+                                   lose_table_replies,
                                    drop_writes)
 };
 
