wire: let the fuzz targets build with clang++

Cause: clang++ takes two constants that websocketpp wants for unused ones, so that the build with -DMAGNOLIA_FUZZ=ON failed; it had not been tried before.

--- a/libs/wire/src/websocket.cpp
+++ b/libs/wire/src/websocket.cpp
@@ -47,11 +47,11 @@
         using elog_type = type::elog_type;
         using request_type = type::request_type;
         using response_type = type::response_type;
-        static const bool enable_multithreading = false;
+        [[maybe_unused]] static const bool enable_multithreading = false;
     };
     using transport_type = ws::transport::iostream::endpoint<transport_config>;
 
-    static const bool enable_multithreading = false;
+    [[maybe_unused]] static const bool enable_multithreading = false;
     // A process has some hundreds of links, mostly idle; a larger buffer would only hold memory.
     static const size_t connection_read_buffer_size = 4096;
     static const size_t max_http_body_size = 0;
