manifest: daemons read the head the more often the fewer they are

Cause: with reads at a mean of 10 s, a handful of daemons may all be seconds away from their next read when the head moves; then nobody is there to tell the others. Five daemons miss 5 s in 3.2% of cases, a lone one in 50.4%.

Now the mean is the number of daemons in the platform's list over 170 reads a second, from 1 s up to poll_interval_ms. Entries tell the follower the number whenever they have read the list. Agents don't read the list at regular times and stay at poll_interval_ms.

Ruled out: a fixed 1 s (1,720 of the store's 2,000 reads a second at the target); a lower setting for small deployments; announcing by magnoliactl.

Worked out by a seeded calculation (manifest_change_cost, first_read), time until the first of N daemons reads the head, all at the interval, before -> after, mean and worst of 20,000, then share over 5 s: 1 daemon 5436 -> 544 ms, 14921 -> 1492 ms, 50.4 -> 0 % 5 daemons 1680 -> 168 ms, 10192 -> 1019 ms, 3.2 -> 0 % 30 daemons 324 -> 32 ms, 3639 -> 364 ms, 0 -> 0 % 1720 daemons 5.8 -> 5.8 ms, 56 -> 56 ms, 0 -> 0 %

Tests failed first: with the count ignored (51 failures: fewDaemons, emptyList), with the count replacing the backoff (daemonCount), with an empty list believed (19 failures: emptyList). In this state path_manifest failed once and passed once: modelVersion_movedUnderLoad had not moved all engines within 20 s. In the failing run version 2 was in force at all five daemons 0.5 s after version 1; what kept the rolling change was not found.

--- a/libs/entry/include/entry/entrytask.h
+++ b/libs/entry/include/entry/entrytask.h
@@ -28,7 +28,7 @@
     http::HttpServer::Options operators;
     observe::Secret operatorsKey; ///< Bearer key of POST /drain.
     wire::LinkOptions links;
-    Duration pollInterval{10000}; ///< Mean time between reads of the head row, and of the instance list.
+    Duration pollInterval{10000}; ///< Mean time between reads of the instance list; that between reads of the head row at most.
     Duration stopLag{3000}; ///< New work is still taken for so long after "not ready".
     Duration stopWarnAfter{60000}; ///< Work in progress so long after the stop is named in the log.
     policy::EndpointSubset::Options subset;
--- a/libs/entry/include/entry/manifestfeed.h
+++ b/libs/entry/include/entry/manifestfeed.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "manifest/followertask.h"
 
+#include <cstddef>
 #include <functional>
 #include <string_view>
 #include <utility>
@@ -27,6 +28,9 @@
     virtual void peerUp(const manifest::PeerName &peer) = 0;
     virtual void peerDown(const manifest::PeerName &peer) = 0;
 
+    /** @param daemons in the platform's list, each time that it has been read. */
+    virtual void daemonCount(std::size_t daemons) = 0;
+
     /** @return false if the message is not about the manifest. */
     virtual bool take(const manifest::PeerName &peer, const wire::Message &message) = 0;
 
@@ -63,6 +67,11 @@
         task_.onPeerDown(peer);
     }
 
+    void daemonCount(std::size_t daemons) override
+    {
+        task_.onDaemonCount(daemons);
+    }
+
     bool take(const manifest::PeerName &peer, const wire::Message &message) override
     {
         return task_.onMessage(peer, message);
--- a/libs/entry/src/entrytask.cpp
+++ b/libs/entry/src/entrytask.cpp
@@ -369,6 +369,7 @@
     if (instances) {
         hasList_ = true;
         instances_ = *instances;
+        feed_->daemonCount(instances_.size());
         retarget();
     } else {
         log()->warn("The instance list can't be read: {}", instances.error().detail);
--- a/libs/manifest/benchmarks/changecost.cpp
+++ b/libs/manifest/benchmarks/changecost.cpp
@@ -1,6 +1,8 @@
 // What one change of one organisation costs a daemon: bytes, time, allocations and memory, by number of organisations.
+// And how long a new head row goes unread, by number of daemons (a seeded calculation, not a measurement).
 #include "manifest/assembly.h"
 #include "manifest/chunks.h"
+#include "manifest/pollbudget.h"
 #include "samplemanifest.h"
 
 #include <malloc.h>
@@ -8,7 +10,9 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <limits>
 #include <new>
+#include <random>
 #include <string>
 
 using namespace magnolia::manifest;
@@ -114,6 +118,51 @@
     measureLookups(*index, organisations);
 }
 
+// @return seconds until the next read of a daemon that has read at random times from half to one and a half means.
+double drawRest(std::mt19937_64 &random, double mean)
+{
+    constexpr double LongestGap = 1.5;
+    std::uniform_real_distribution<double> unit(0, 1);
+    // A random moment falls into a gap with a chance in proportion to the gap's length.
+    double gap = 0;
+    do {
+        gap = 0.5 + unit(random);
+    } while (unit(random) * LongestGap > gap);
+    return unit(random) * gap * mean;
+}
+
+void calculateFirstRead(const char *name, std::size_t daemons, double mean)
+{
+    constexpr int Trials = 20000;
+    constexpr double Limit = 5;
+    std::mt19937_64 random(daemons);
+    double sum = 0;
+    double worst = 0;
+    int late = 0;
+    for (int trial = 0; trial < Trials; ++trial) {
+        double first = std::numeric_limits<double>::max();
+        for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+            first = std::min(first, drawRest(random, mean));
+        }
+        sum += first;
+        worst = std::max(worst, first);
+        late += first > Limit ? 1 : 0;
+    }
+    const std::string prefix = std::string("first_read_") + name;
+    result((prefix + "_mean").c_str(), daemons, sum / Trials * 1000, "ms");
+    result((prefix + "_worst").c_str(), daemons, worst * 1000, "ms");
+    result((prefix + "_over_5s").c_str(), daemons, 100.0 * late / Trials, "percent");
+}
+
+void calculateFirstReads()
+{
+    for (const std::size_t daemons : {std::size_t{1}, std::size_t{5}, std::size_t{30}, std::size_t{1720}}) {
+        calculateFirstRead("fixed_10s", daemons, 10);
+        const double mean = std::chrono::duration<double>(pollIntervalFor(daemons, {})).count();
+        calculateFirstRead("by_budget", daemons, mean);
+    }
+}
+
 } // namespace
 
 void *operator new(std::size_t size)
@@ -140,5 +189,6 @@
     for (const std::size_t organisations : {std::size_t{10}, std::size_t{1000}, std::size_t{20000}}) {
         measure(organisations);
     }
+    calculateFirstReads();
     return EXIT_SUCCESS;
 }
--- a/libs/manifest/include/manifest/followertask.h
+++ b/libs/manifest/include/manifest/followertask.h
@@ -8,6 +8,7 @@
 #include "platform/tablestore.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -72,6 +73,13 @@
         run();
     }
 
+    /** @param daemons in the platform's list, each time that it has been read. */
+    void onDaemonCount(std::size_t daemons)
+    {
+        follower_.onDaemonCount(clock_.now(), daemons);
+        run();
+    }
+
     /** @return false if the message is not about the manifest. */
     bool onMessage(const PeerName &peer, const wire::Message &message)
     {
--- a/libs/manifest/include/manifest/manifestfollower.h
+++ b/libs/manifest/include/manifest/manifestfollower.h
@@ -84,7 +84,9 @@
 {
 public:
     struct Options {
-        Duration pollInterval{10000}; ///< Mean time between reads of the head row; each is drawn from half to one and a half.
+        Duration pollInterval{10000}; ///< Mean time between reads of the head row at most; each is drawn from half to one and a half.
+        Duration leastPollInterval{1000}; ///< The mean at least, unless pollInterval is less.
+        std::size_t pollsPerSecond = 170; ///< Reads of the head row by all daemons together.
         Duration replyTimeout{2000}; ///< A read or a request with no reply for so long has failed.
         Duration minBackoff{500}; ///< After a failure; doubles up to maxBackoff, with jitter.
         Duration maxBackoff{30000};
@@ -111,6 +113,12 @@
     void onChunkRequest(MonoTime now, const PeerName &peer, const wire::ChunkRequest &request);
     void onChunkData(MonoTime now, const PeerName &peer, const wire::ChunkData &chunk);
 
+    /**
+     * Call whenever the platform's list has been read; without it the head row is read each Options::pollInterval.
+     * @param daemons all in the list, leaving ones included, since these read too. An empty list changes nothing.
+     */
+    void onDaemonCount(MonoTime now, std::size_t daemons);
+
     /** @param value the row's value; nothing if there is no row. */
     void onHeadRow(MonoTime now, const Result<std::optional<std::string>> &value);
     /** @param data the object; nothing if there is none. */
--- a/libs/manifest/src/manifestfollower.cpp
+++ b/libs/manifest/src/manifestfollower.cpp
@@ -1,6 +1,7 @@
 #include "manifest/manifestfollower.h"
 
 #include "manifest/assembly.h"
+#include "manifest/pollbudget.h"
 
 #include <fmt/format.h>
 
@@ -156,6 +157,21 @@
         pump(now);
     }
 
+    // With a fixed interval of 10 s a handful of daemons would hear of a new version late: nobody reads the head row for
+    // seconds, though the store could bear far more reads. So few daemons read often, and many share the budget.
+    void onDaemonCount(MonoTime now, std::size_t daemons)
+    {
+        lastNow_ = now;
+        if (daemons == 0) {
+            return; // We run, so a list without daemons is wrong; all of them reading fast would hurt the store.
+        }
+        daemons_ = daemons;
+        const bool isBackingOff = headReadFailures_ != 0;
+        if (!headReadOut_ && !isBackingOff && nextHeadRead_ > now + pollInterval() * 3 / 2) {
+            nextHeadRead_ = now + jittered(pollInterval());
+        }
+    }
+
     void onHeadRow(MonoTime now, const Result<std::optional<std::string>> &value)
     {
         lastNow_ = now;
@@ -170,7 +186,7 @@
         headReadFailures_ = 0;
         isStoreReachable_ = true;
         lastStoreAnswer_ = now;
-        nextHeadRead_ = now + jittered(options_.pollInterval);
+        nextHeadRead_ = now + jittered(pollInterval());
         if (*value) {
             takeStoreHead(**value);
         } else if (current_ != nullptr) {
@@ -266,6 +282,11 @@
         }
     }
 
+    Duration pollInterval() const
+    {
+        return pollIntervalFor(daemons_, {.readsPerSecond = options_.pollsPerSecond, .least = options_.leastPollInterval, .most = options_.pollInterval});
+    }
+
     Duration backoff(unsigned failures)
     {
         const Duration full = std::min(options_.maxBackoff, options_.minBackoff * (1U << std::min(failures, MaxBackoffDoublings)));
@@ -568,6 +589,7 @@
     bool hasStoreAnswered_ = false;
     bool isStoreReachable_ = false;
     unsigned headReadFailures_ = 0;
+    std::size_t daemons_ = 0; ///< That share the budget of reads; 0: not known.
     MonoTime nextHeadRead_; ///< When the next one is due, or the one that is out has failed.
     MonoTime lastStoreAnswer_;
     std::optional<KnownHead> storeHead_;
@@ -628,6 +650,11 @@
     impl_->onChunkData(now, peer, chunk);
 }
 
+void ManifestFollower::onDaemonCount(MonoTime now, std::size_t daemons)
+{
+    impl_->onDaemonCount(now, daemons);
+}
+
 void ManifestFollower::onHeadRow(MonoTime now, const Result<std::optional<std::string>> &value)
 {
     impl_->onHeadRow(now, value);
--- a/libs/manifest/tests/followertest.cpp
+++ b/libs/manifest/tests/followertest.cpp
@@ -187,6 +187,52 @@
     BOOST_TEST((*std::min_element(gaps.begin(), gaps.end()) != *std::max_element(gaps.begin(), gaps.end())));
 }
 
+BOOST_FIXTURE_TEST_CASE(fewDaemons_withoutNews_areReadWithinFiveSeconds, Follower)
+{
+    // Symptom: a new version is in force after 10 s in a small deployment. Sequence: the head row moves just after all of a
+    // handful of daemons have read it; each waits for its next read. Cause: the interval was that of 1,720 daemons.
+    startWith(makeVersion(1));
+    take<ReadHeadRow>();
+    follower.onDaemonCount(now, 1);
+    for (int i = 0; i < 50; ++i) {
+        const MonoTime before = now;
+        while (take<ReadHeadRow>().empty()) {
+            advance(100ms);
+        }
+        BOOST_TEST((now - before <= 1600ms));
+        BOOST_TEST((now - before >= 500ms));
+        showStore(makeVersion(1));
+        follower.onDaemonCount(now, 1); // Read at any time, it must neither hasten nor put off the next read.
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(daemonCount_saidDuringOutage_leavesTheBackoff, Follower)
+{
+    // Symptom: a store that is down is asked once a second by each daemon. Sequence: reads fail and back off; the list,
+    // which still answers, is read. Cause: the count replaced the wait after a failure by the interval.
+    std::size_t reads = 0;
+    for (int second = 0; second < 600; ++second) {
+        reads += take<ReadHeadRow>().size();
+        failStore();
+        follower.onDaemonCount(now, 5);
+        advance(1s);
+    }
+    BOOST_TEST(reads <= 50U);
+}
+
+BOOST_FIXTURE_TEST_CASE(emptyList_afterARightOne_changesNothing, Follower)
+{
+    startWith(makeVersion(1));
+    take<ReadHeadRow>();
+    follower.onDaemonCount(now, 1);
+    for (int i = 0; i < 20; ++i) {
+        follower.onDaemonCount(now, 0);
+        advance(1600ms);
+        BOOST_TEST(take<ReadHeadRow>().size() == 1U);
+        showStore(makeVersion(1));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(higherHeadOfPeer_heard_isFetchedFromItAndPassedOn, Follower)
 {
     startWith(makeVersion(1));
