--- a/tests/path/tests/atmostoncetest.cpp
+++ b/tests/path/tests/atmostoncetest.cpp
@@ -92,15 +92,16 @@
 // The other side of the promise: a guard that refuses too much would pass every other test here.
 BOOST_AUTO_TEST_CASE(bookings_withoutFailures_allRunOnceAndNoneIsRefused)
 {
-    constexpr int Bookings = 200;
+    constexpr std::size_t Bookings = 200;
     std::vector<CallPtr> calls;
-    for (int i = 0; i < Bookings; ++i) {
-        calls.push_back(book("plain-" + std::to_string(i), static_cast<std::size_t>(i % 2), Duration{10000}));
+    calls.reserve(Bookings);
+    for (std::size_t i = 0; i < Bookings; ++i) {
+        calls.push_back(book("plain-" + std::to_string(i), i % 2, Duration{10000}));
     }
     waitFor(calls);
     const auto runs = deployment.timesBegun();
-    for (int i = 0; i < Bookings; ++i) {
-        BOOST_TEST(calls[static_cast<std::size_t>(i)]->status == 200);
+    for (std::size_t i = 0; i < Bookings; ++i) {
+        BOOST_TEST(calls[i]->status == 200);
         BOOST_TEST(runs.at("plain-" + std::to_string(i)) == 1);
     }
 }
@@ -110,16 +111,17 @@
 // Cause: two entries cannot see each other; only the claim's conditional insert decides between them.
 BOOST_AUTO_TEST_CASE(manyKeys_eachSentToBothEntriesAtOnce_eachRunsOnce)
 {
-    constexpr int Keys = 60;
+    constexpr std::size_t Keys = 60;
     std::vector<CallPtr> calls;
-    for (int i = 0; i < 2 * Keys; ++i) {
-        calls.push_back(book("pair-" + std::to_string(i / 2), static_cast<std::size_t>(i % 2), Duration{10000}));
+    calls.reserve(2 * Keys);
+    for (std::size_t i = 0; i < 2 * Keys; ++i) {
+        calls.push_back(book("pair-" + std::to_string(i / 2), i % 2, Duration{10000}));
     }
     waitFor(calls);
     const auto runs = deployment.timesBegun();
-    for (int i = 0; i < Keys; ++i) {
-        const Call &left = *calls[static_cast<std::size_t>(2 * i)];
-        const Call &right = *calls[static_cast<std::size_t>(2 * i + 1)];
+    for (std::size_t i = 0; i < Keys; ++i) {
+        const Call &left = *calls[2 * i];
+        const Call &right = *calls[2 * i + 1];
         BOOST_TEST((left.status == 200 || right.status == 200));
         for (const Call *call : {&left, &right}) {
             BOOST_TEST((call->status == 200 || (call->status == 409 && call->error("verdict") == "may-have-run")));
