http: keep the one-shot timer in one place

Cause: libs/entry and libs/engine each had the same timer over libevent; it is now http::Timer, beside the handles that it is made of. No behaviour changed; ruled out: a library of its own for one class.

--- a/libs/agent/src/agenttask.cpp
+++ b/libs/agent/src/agenttask.cpp
@@ -1,8 +1,8 @@
 #include "agent/agenttask.h"
 
 #include "agent/attemptrunner.h"
-#include "engine/timer.h"
 #include "enginekeeper.h"
+#include "http/timer.h"
 #include "manifestdriver.h"
 #include "observe/log.h"
 #include "operatorsapi.h"
@@ -102,9 +102,9 @@
     RolloutDriver rollout_;
     EngineKeeper keeper_;
     ReportSchedule::Changes changes_;
-    engine::Timer tickTimer_;
-    engine::Timer soonTimer_;
-    engine::Timer stopTimer_;
+    http::Timer tickTimer_;
+    http::Timer soonTimer_;
+    http::Timer stopTimer_;
     std::unique_ptr<wire::LinkListener> listener_;
     std::unique_ptr<OperatorsApi> operators_;
     std::map<LinkId, Peer> links_;
--- a/libs/agent/src/claimrun.h
+++ b/libs/agent/src/claimrun.h
@@ -3,7 +3,7 @@
 
 #include "agent/claimprotocol.h"
 #include "agent/platformports.h"
-#include "engine/timer.h"
+#include "http/timer.h"
 
 #include <functional>
 #include <memory>
@@ -39,7 +39,7 @@
     ClaimProtocol protocol_;
     const PlatformPorts &platform_;
     Callbacks callbacks_;
-    engine::Timer timer_;
+    http::Timer timer_;
     bool toldSettled_ = false;
 };
 
--- a/libs/agent/src/enginekeeper.h
+++ b/libs/agent/src/enginekeeper.h
@@ -5,7 +5,7 @@
 #include "agent/platformports.h"
 #include "agent/reconciler.h"
 #include "engine/engineclient.h"
-#include "engine/timer.h"
+#include "http/timer.h"
 #include "manifest/manifestindex.h"
 #include "observe/metrics.h"
 #include "policy/backoff.h"
@@ -73,8 +73,8 @@
     FenceAcquirer acquirer_;
     policy::Backoff tableBackoff_;
     policy::Backoff storeBackoff_;
-    engine::Timer pollTimer_;
-    engine::Timer fenceTimer_;
+    http::Timer pollTimer_;
+    http::Timer fenceTimer_;
     manifest::ManifestIndex::Pointer index_;
     MonoTime loadsFrom_; ///< The weight store has refused; no loads before.
     std::uint64_t highestSeen_ = 0;
--- a/libs/agent/src/manifestdriver.h
+++ b/libs/agent/src/manifestdriver.h
@@ -2,7 +2,7 @@
 #define MAGNOLIA_AGENT_MANIFESTDRIVER_H
 
 #include "agent/platformports.h"
-#include "engine/timer.h"
+#include "http/timer.h"
 #include "manifest/manifestfollower.h"
 
 #include <functional>
@@ -40,7 +40,7 @@
     manifest::ManifestFollower follower_;
     const PlatformPorts &platform_;
     Ports ports_;
-    engine::Timer timer_;
+    http::Timer timer_;
     std::shared_ptr<ManifestDriver *> self_; ///< Replies of the platform may come after this is gone.
 };
 
--- a/libs/agent/src/peerwatch.h
+++ b/libs/agent/src/peerwatch.h
@@ -2,7 +2,7 @@
 #define MAGNOLIA_AGENT_PEERWATCH_H
 
 #include "agent/platformports.h"
-#include "engine/timer.h"
+#include "http/timer.h"
 #include "wire/link.h"
 #include "wire/loadedlist.h"
 
@@ -46,7 +46,7 @@
     event_base *loop_;
     wire::LinkOptions links_;
     const PlatformPorts &platform_;
-    engine::Timer lookTimer_;
+    http::Timer lookTimer_;
     std::set<std::string> endpoints_;
     std::map<std::string, Peer> peers_; ///< By address.
     std::shared_ptr<PeerWatch *> self_; ///< Replies may come after this is gone.
--- a/libs/engine/src/engineclient.cpp
+++ b/libs/engine/src/engineclient.cpp
@@ -1,7 +1,7 @@
 #include "engine/engineclient.h"
 
 #include "engine/sseparser.h"
-#include "engine/timer.h"
+#include "http/timer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -126,7 +126,7 @@
         Duration silence{0}; ///< Present limit of a silent stream.
         int failedProbes = 0;
         bool resumed = false; ///< An earlier connection carried it, so that it has begun whatever becomes of this one.
-        std::unique_ptr<Timer> silenceTimer;
+        std::unique_ptr<http::Timer> silenceTimer;
     };
 
     void sendModel(CallId id, Call &call);
@@ -167,7 +167,7 @@
     call->deadline = MonoClock::now() + request.timeout;
     call->silence = options_.silenceTimeout;
     call->request = std::move(request);
-    call->silenceTimer = std::make_unique<Timer>(loop_, [this, id] { onSilence(id); });
+    call->silenceTimer = std::make_unique<http::Timer>(loop_, [this, id] { onSilence(id); });
     open_.emplace(id, call);
     sendModel(id, *call);
     return id;
@@ -180,7 +180,7 @@
     auto body = engineBody(call.request.body, call.request.priority, call.nextChunk);
     if (!body) {
         // Not from within runModel: the caller doesn't know the call's id yet.
-        call.silenceTimer = std::make_unique<Timer>(loop_, [this, id, failure = body.error()] { finish(id, tl::unexpected(failure)); });
+        call.silenceTimer = std::make_unique<http::Timer>(loop_, [this, id, failure = body.error()] { finish(id, tl::unexpected(failure)); });
         call.silenceTimer->start(Duration(0));
         return;
     }
--- a/libs/entry/src/callrunner.cpp
+++ b/libs/entry/src/callrunner.cpp
@@ -55,7 +55,7 @@
     RequestTracker tracker;
     CallerRequest request;
     CallerReply reply;
-    Timer deadline;
+    http::Timer deadline;
     TrackerActions actions;
     bool isCarryingOut = false;
     Agent *agent = nullptr; ///< Where the present attempt is counted.
--- a/libs/entry/src/callrunner.h
+++ b/libs/entry/src/callrunner.h
@@ -6,10 +6,10 @@
 #include "entry/callerrequest.h"
 #include "entry/requesttracker.h"
 #include "entrymetrics.h"
+#include "http/timer.h"
 #include "observe/trace.h"
 #include "placement.h"
 #include "policy/retrybudget.h"
-#include "timer.h"
 
 #include <memory>
 #include <string>
--- a/libs/entry/src/entrytask.cpp
+++ b/libs/entry/src/entrytask.cpp
@@ -7,11 +7,11 @@
 #include "entry/manifestfeed.h"
 #include "entry/stopsequence.h"
 #include "entrymetrics.h"
+#include "http/timer.h"
 #include "observe/log.h"
 #include "operatorsapi.h"
 #include "placement.h"
 #include "policy/tokenbuckets.h"
-#include "timer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -121,9 +121,9 @@
     policy::EndpointSubset subset_;
     std::vector<platform::Instance> instances_;
     bool hasList_ = false;
-    Timer listTimer_;
-    Timer retargetTimer_;
-    Timer stopTimer_;
+    http::Timer listTimer_;
+    http::Timer retargetTimer_;
+    http::Timer stopTimer_;
     StopSequence stop_;
     MonoTime stopBegun_;
     bool hasWarned_ = false;
