agent: the next in a version change looks promptly; lost slots, looks and numbers

Cause of path_manifest's failure (1 of 4): a waiting endpoint looked at its slot every 2 to 6 s only, and its first look was always in vain, since no peer had been heard yet; each step waited for the engine's next poll besides. Three endpoints one after the other add up to 17 to 21 s of 20 allowed. Ruled out: the manifest's poll (it was in force within 1 s in the logs), peers' reports (sent at once), the slot's return (the row is freed at the holder's next look). Now a peer's report that it is back wakes the first max_moving + 1 of those that wait, for 3 s; a written slot and leave to move wake the endpoint at once. The others look as rarely as before, so that the table's reads are spared.

--- a/libs/agent/src/agenttask.cpp
+++ b/libs/agent/src/agenttask.cpp
@@ -154,6 +154,7 @@
                            noteStateChange();
                        },
                    .open = [this](const std::string &model) { return runner_.openOf(model); },
+                   .lookSoon = [this] { keeper_.lookSoon(); },
                })
     , keeper_(loop,
               {.endpoint = options_.endpoint, .incarnation = incarnation_, .pollInterval = options_.enginePollInterval},
--- a/libs/agent/src/enginekeeper.cpp
+++ b/libs/agent/src/enginekeeper.cpp
@@ -58,6 +58,11 @@
     pollIn(Duration(0));
 }
 
+void EngineKeeper::lookSoon()
+{
+    pollIn(Duration(0));
+}
+
 std::optional<std::uint64_t> EngineKeeper::fence() const
 {
     return acquirer_.fence();
@@ -76,6 +81,9 @@
 void EngineKeeper::poll()
 {
     if (polling_) {
+        // An order may take longer than the time between two looks. If the timer ended here, a refusal of that order would
+        // leave nobody to look again: the endpoint would stay as it is until the agent is restarted.
+        pollIn(options_.pollAfterOrder);
         return;
     }
     const manifest::Endpoint *self = endpoint();
@@ -161,8 +169,7 @@
         }
         EngineKeeper &self = **keeper;
         if (row && self.acquirer_.isSuperseded(*row)) {
-            observe::logger("engine")->warn("a later agent has taken over this endpoint; no more orders from here");
-            self.superseded_ = true;
+            self.stopOrders();
             self.polling_ = false;
             return;
         }
@@ -208,11 +215,41 @@
     }
     observe::logger("engine")->warn("order {} refused: {}", describe(order), failure.detail);
     if (failure.code == ErrorCode::StaleFence) {
-        acquirer_.reset();
-        acquireFence();
+        onStaleFence();
     }
 }
 
+void EngineKeeper::onStaleFence()
+{
+    // A later agent may have taken over while this one was paused. If this one took a new number then, it would shut the
+    // later one out, and the two would take turns for ever; one would see the row's number rise without an end.
+    polling_ = true;
+    platform_.read(fenceKey(options_.endpoint), [weak = Weak(self_)](const Result<std::optional<platform::Row>> &row) {
+        const auto keeper = weak.lock();
+        if (!keeper) {
+            return;
+        }
+        EngineKeeper &self = **keeper;
+        self.polling_ = false;
+        if (!row) {
+            return; // The next order that is refused asks again.
+        }
+        if (self.acquirer_.isSuperseded(*row)) {
+            self.stopOrders();
+            return;
+        }
+        // The engine knows a higher number than the table, so the table's row is behind.
+        self.acquirer_.reset();
+        self.acquireFence();
+    });
+}
+
+void EngineKeeper::stopOrders()
+{
+    observe::logger("engine")->warn("a later agent has taken over this endpoint; no more orders from here");
+    superseded_ = true;
+}
+
 void EngineKeeper::acquireFence()
 {
     if (acquirer_.fence()) {
--- a/libs/agent/src/enginekeeper.h
+++ b/libs/agent/src/enginekeeper.h
@@ -49,6 +49,9 @@
     void setManifest(manifest::ManifestIndex::Pointer index);
     std::optional<std::uint64_t> fence() const;
 
+    /** Looks at the engine at once, or soon after what is in progress. */
+    void lookSoon();
+
 private:
     using Weak = std::weak_ptr<EngineKeeper *>;
 
@@ -60,6 +63,8 @@
     void order(const engine::EngineOrder &order);
     void send(const engine::EngineOrder &order);
     void onOrdered(const engine::EngineOrder &order, const Result<void> &result);
+    void onStaleFence();
+    void stopOrders();
     void acquireFence();
     void onFenceRow(const std::optional<platform::Row> &row);
     void retryFence();
--- a/libs/agent/src/peerwatch.cpp
+++ b/libs/agent/src/peerwatch.cpp
@@ -19,8 +19,13 @@
 
 } // namespace
 
-PeerWatch::PeerWatch(event_base *loop, wire::LinkOptions links, const PlatformPorts &platform)
-    : loop_(loop), links_(std::move(links)), platform_(platform), lookTimer_(loop, [this] { look(); }), self_(std::make_shared<PeerWatch *>(this))
+PeerWatch::PeerWatch(event_base *loop, wire::LinkOptions links, const PlatformPorts &platform, std::function<void()> onChange)
+    : loop_(loop)
+    , links_(std::move(links))
+    , platform_(platform)
+    , onChange_(std::move(onChange))
+    , lookTimer_(loop, [this] { look(); })
+    , self_(std::make_shared<PeerWatch *>(this))
 {
 }
 
@@ -49,6 +54,22 @@
     return found;
 }
 
+std::set<std::string> PeerWatch::servingOther(std::string_view model, std::string_view version) const
+{
+    const std::string wanted = std::string(model) + '@' + std::string(version);
+    std::set<std::string> found;
+    for (const auto &[address, peer] : peers_) {
+        if (!peer.report || !serves(*peer.report, model)) {
+            continue;
+        }
+        const std::vector<std::string> &loaded = peer.report->loaded;
+        if (std::find(loaded.begin(), loaded.end(), wanted) == loaded.end()) {
+            found.insert(peer.endpoint);
+        }
+    }
+    return found;
+}
+
 void PeerWatch::look()
 {
     lookTimer_.start(LookInterval);
@@ -88,11 +109,20 @@
         // An instance list that lags may name an address that another endpoint's agent has by now.
         if (found != peers_.end() && report != nullptr && report->endpoint == found->second.endpoint) {
             found->second.loaded.restore(*report);
-            found->second.report = std::move(*report);
+            this->take(found->second, std::move(*report));
         }
     };
     peer.dialer =
         wire::LinkDialer::dial(loop_, address, links_, {.onUp = [](const wire::PeerInfo &) {}, .onMessage = take, .onDown = forget, .onPeerLost = forget});
 }
 
+void PeerWatch::take(Peer &peer, wire::LoadReport &&report)
+{
+    const bool isNews = !peer.report || peer.report->loaded != report.loaded || peer.report->leaving != report.leaving;
+    peer.report = std::move(report);
+    if (isNews) {
+        onChange_();
+    }
+}
+
 } // namespace magnolia::agent
--- a/libs/agent/src/peerwatch.h
+++ b/libs/agent/src/peerwatch.h
@@ -6,6 +6,7 @@
 #include "wire/link.h"
 #include "wire/loadedlist.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,7 +24,8 @@
 class PeerWatch
 {
 public:
-    PeerWatch(event_base *loop, wire::LinkOptions links, const PlatformPorts &platform);
+    /** @param onChange what a peer serves has changed, or was heard for the first time on a link. Called from a link. */
+    PeerWatch(event_base *loop, wire::LinkOptions links, const PlatformPorts &platform, std::function<void()> onChange);
 
     /** @param endpoints whose agents are to be heard from now on; empty: none, all links are closed. */
     void watch(std::set<std::string> endpoints);
@@ -31,6 +33,9 @@
     /** @return those of the watched endpoints that report that they serve this model in some version and are not leaving. */
     std::set<std::string> serving(std::string_view model) const;
 
+    /** @return those of serving() whose version is another one. */
+    std::set<std::string> servingOther(std::string_view model, std::string_view version) const;
+
 private:
     struct Peer {
         std::string endpoint;
@@ -42,10 +47,12 @@
     void look();
     void onInstances(const Result<std::vector<platform::Instance>> &instances);
     void dial(const platform::Instance &instance);
+    void take(Peer &peer, wire::LoadReport &&report);
 
     event_base *loop_;
     wire::LinkOptions links_;
     const PlatformPorts &platform_;
+    std::function<void()> onChange_;
     http::Timer lookTimer_;
     std::set<std::string> endpoints_;
     std::map<std::string, Peer> peers_; ///< By address.
--- a/libs/agent/src/rolloutdriver.cpp
+++ b/libs/agent/src/rolloutdriver.cpp
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <optional>
-#include <random>
 #include <utility>
 
 namespace magnolia::agent
@@ -14,9 +14,6 @@
 namespace
 {
 
-/** Mean time between looks while no slot is held. */
-constexpr Duration WaitingLook{4000};
-
 std::string slotPrefix(const std::string &model)
 {
     return "rollout/" + model + '/';
@@ -39,8 +36,13 @@
     : endpoint_(std::move(endpoint))
     , platform_(platform)
     , ports_(std::move(ports))
-    , peers_(loop, std::move(links), platform)
+    , peers_(loop, std::move(links), platform, [this] { onPeersChanged(); })
     , random_(seededRandom())
+    , wakeTimer_(loop,
+                 [this] {
+                     wakeTime_ = MonoTime::max();
+                     ports_.lookSoon();
+                 })
     , self_(std::make_shared<RolloutDriver *>(this))
 {
 }
@@ -69,10 +71,12 @@
         const bool inPlace = model != nullptr && seen != nullptr && seen->serving && !servesOther;
         auto move = moves_.find(name);
         if (move == moves_.end()) {
-            if (inPlace || model == nullptr) {
+            if (model == nullptr || (inPlace && looked_.contains(name))) {
                 continue;
             }
-            // Also one that is only loading: an agent that was restarted in the middle of its step holds a slot still.
+            // Also one that is only loading, or in place already when this agent starts: its predecessor may have been lost
+            // with a slot in hand, and all others would wait until the lease lapses.
+            looked_.insert(name);
             move = moves_.emplace(name, RolloutGate::Options{.endpoint = endpoint_}).first;
         }
         if (isDue(move->second, servesOther || inPlace)) {
@@ -98,7 +102,7 @@
 
 bool RolloutDriver::isDue(const Move &move, bool mayAct) const
 {
-    if (move.busy || MonoClock::now() < move.nextLook) {
+    if (move.busy || MonoClock::now() < move.pace.nextLook()) {
         return false;
     }
     return mayAct || !move.idle;
@@ -116,6 +120,7 @@
         .servesOther = seen != nullptr && seen->serving && seen->version != wanted->version,
         .inPlace = seen != nullptr && seen->serving && seen->version == wanted->version,
     };
+    move.waits = view.servesOther;
     platform_.list(
         slotPrefix(model),
         [weak = std::weak_ptr(self_), model, view = std::move(view), readAt = MonoClock::now()](const Result<std::map<std::string, platform::Row>> &rows) {
@@ -146,10 +151,16 @@
     move.idle = !decision.holdsSlot && !view.servesOther;
     if (!decision.holdsSlot && !decision.write) {
         // Many may wait for few slots, and the table's reads are shared by all.
-        std::uniform_int_distribution<std::int64_t> pause(WaitingLook.count() / 2, WaitingLook.count() * 3 / 2);
-        move.nextLook = readAt + Duration(pause(random_));
+        const MonoTime now = MonoClock::now();
+        move.pace.lookedInVain(now, random_);
+        if (view.servesOther && move.pace.isPrompt(now)) {
+            wakeAt(move.pace.nextLook());
+        }
     }
     if (decision.mayMove) {
+        if (view.servesOther && move.leaveUntil == MonoTime()) {
+            wakeAt(MonoClock::now());
+        }
         move.leaveUntil = readAt + LeaveTime;
     } else {
         move.leaveUntil = {};
@@ -175,6 +186,7 @@
         }
         if (const auto found = (*self)->moves_.find(model); found != (*self)->moves_.end()) {
             found->second.busy = false;
+            (*self)->wakeAt(MonoClock::now());
         }
     };
     if (slot.ifRevision) {
@@ -188,6 +200,9 @@
 {
     std::set<std::string> endpoints;
     for (const auto &[model, move] : moves_) {
+        if (!move.waits) {
+            continue; // Whoever is out of service already, or only gives a slot back, needs nobody's report.
+        }
         for (const manifest::Endpoint *peer : index_->endpointsOfModel(model)) {
             if (peer->name != endpoint_) {
                 endpoints.insert(peer->name);
@@ -197,4 +212,26 @@
     peers_.watch(std::move(endpoints));
 }
 
+void RolloutDriver::onPeersChanged()
+{
+    const MonoTime now = MonoClock::now();
+    for (auto &[name, move] : moves_) {
+        const manifest::Model *model = index_->model(name);
+        if (!move.waits || model == nullptr || !isNextToMove(name, endpoint_, peers_.servingOther(name, model->version), model->maxMoving)) {
+            continue;
+        }
+        move.pace.changeSeen(now, random_);
+        wakeAt(move.pace.nextLook());
+    }
+}
+
+void RolloutDriver::wakeAt(MonoTime time)
+{
+    if (time >= wakeTime_) {
+        return;
+    }
+    wakeTime_ = time;
+    wakeTimer_.start(std::max(Duration(0), std::chrono::ceil<Duration>(time - MonoClock::now())));
+}
+
 } // namespace magnolia::agent
--- a/libs/agent/src/rolloutdriver.h
+++ b/libs/agent/src/rolloutdriver.h
@@ -3,8 +3,10 @@
 
 #include "agent/platformports.h"
 #include "agent/rolloutgate.h"
+#include "agent/rolloutpace.h"
 #include "base/random.h"
 #include "engine/enginestate.h"
+#include "http/timer.h"
 #include "manifest/manifestindex.h"
 #include "peerwatch.h"
 
@@ -27,6 +29,7 @@
     struct Ports {
         std::function<void(const std::set<std::string> &models)> hold{}; ///< Take no new work for these.
         std::function<std::uint32_t(const std::string &model)> open{}; ///< Attempts of it in progress.
+        std::function<void()> lookSoon{}; ///< Look at the engine at once, not only at the next poll.
     };
 
     RolloutDriver(event_base *loop, std::string endpoint, wire::LinkOptions links, const PlatformPorts &platform, Ports ports);
@@ -45,7 +48,8 @@
         RolloutGate gate;
         bool busy = false; ///< A read or a write of the table is in progress.
         MonoTime leaveUntil; ///< Leave to move holds until then.
-        MonoTime nextLook; ///< The table is not asked before.
+        RolloutPace pace; ///< The table is not asked before its time.
+        bool waits = false; ///< Serves another version, as far as the last look knows.
         bool idle = false; ///< Neither a slot is held nor one is wanted: no need to ask again.
     };
 
@@ -54,14 +58,19 @@
     void onSlots(const std::string &model, const Result<std::map<std::string, platform::Row>> &rows, RolloutView view, MonoTime readAt);
     void write(const std::string &model, const WriteSlot &slot);
     void watchPeers();
+    void onPeersChanged();
+    void wakeAt(MonoTime time);
 
     std::string endpoint_;
     const PlatformPorts &platform_;
     Ports ports_;
     PeerWatch peers_;
     Random random_;
+    http::Timer wakeTimer_;
+    MonoTime wakeTime_ = MonoTime::max(); ///< When wakeTimer_ ends.
     manifest::ManifestIndex::Pointer index_;
     std::map<std::string, Move> moves_; ///< Models that are not in their version here.
+    std::set<std::string> looked_; ///< Models whose slots have been looked at since this agent started.
     std::set<std::string> held_;
     std::shared_ptr<RolloutDriver *> self_; ///< Replies may come after this is gone.
 };
