manifest: larger shards, so that all daemons can start at once

Cause: 20,000 organisations were 2,048 shards. A cold start of 1,720 daemons would read 3.6 million objects, 30 minutes at the store's 2,000 reads a second. A shard now holds up to 320 organisations instead of 16.

Ruled out for now: a bundle object (docs/MANIFEST.md).

Tests: two cases of IndexTest cut shards out of 40 organisations, which are now one shard; they use 1,000, which are four shards as before. largeManifest_fetched_boundsRequestsInFlight takes 20,000 organisations instead of 2,000, since 2,000 would have fewer chunks than its bound of 32 and so show nothing.

--- a/libs/manifest/src/chunkcodec.cpp
+++ b/libs/manifest/src/chunkcodec.cpp
@@ -17,7 +17,9 @@
 
 constexpr std::uint32_t FormatVersion = 1;
 constexpr std::size_t MaxChunkDepth = 8;
-constexpr std::size_t OrganisationsPerShard = 16;
+// A change moves one shard, a start reads them all: small shards make a change cheap and a start of every daemon at once
+// dear. At 20,000 organisations this gives 64 shards: 81 KB a change, 77 reads a start; see docs/MANIFEST.md.
+constexpr std::size_t OrganisationsPerShard = 320;
 constexpr unsigned BitsPerByte = 8;
 
 Json toJson(const std::vector<Digest> &digests)
--- a/libs/manifest/tests/followertest.cpp
+++ b/libs/manifest/tests/followertest.cpp
@@ -465,7 +465,7 @@
 
 BOOST_FIXTURE_TEST_CASE(largeManifest_fetched_boundsRequestsInFlight, Follower)
 {
-    const Version large = makeVersion(1, 2000);
+    const Version large = makeVersion(1, 20000);
     showStore(large);
     std::size_t most = 0;
     for (auto reads = take<ReadObject>(); !reads.empty(); reads = take<ReadObject>()) {
--- a/libs/manifest/tests/indextest.cpp
+++ b/libs/manifest/tests/indextest.cpp
@@ -104,14 +104,14 @@
 
 BOOST_AUTO_TEST_CASE(brokenRoot_assembled_isRefused)
 {
-    const Manifest manifest = sampleManifest(40);
+    const Manifest manifest = sampleManifest(1000);
     struct Case {
         std::string_view name;
         ChunkSet set;
     };
     const std::vector<Case> cases = {
         {"other version", withSection(manifest, "\"version\":1", "\"version\":2")},
-        {"other count", withSection(manifest, "\"organisations\":40", "\"organisations\":41")},
+        {"other count", withSection(manifest, "\"organisations\":1000", "\"organisations\":1001")},
         {"other shard bits", withSection(manifest, "\"shard_bits\":2", "\"shard_bits\":4")},
         {"shard bits out of range", withSection(manifest, "\"shard_bits\":2", "\"shard_bits\":40")},
         {"later format", withSection(manifest, "\"format\":1", "\"format\":2")},
@@ -134,7 +134,7 @@
 BOOST_AUTO_TEST_CASE(organisationInWrongShard_assembled_isRefused)
 {
     // Two shards swapped: each chunk fits its hash, yet lookups by name would miss.
-    const Manifest manifest = sampleManifest(40);
+    const Manifest manifest = sampleManifest(1000);
     ChunkSet set = split(manifest);
     std::string branch;
     for (const auto &[hash, bytes] : set.chunks) {
