--- a/tests/path/src/deployment.cpp
+++ b/tests/path/src/deployment.cpp
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <iterator>
 #include <stdexcept>
+#include <utility>
 
 namespace magnolia::path
 {
@@ -55,12 +56,12 @@
     for (std::size_t i = 1; i <= options_.engines; ++i) {
         const std::string name = fmt::format("engine-{}", i);
         engines_.push_back(makeEngine(name));
-        agents_.push_back(makeAgent(name, *engines_.back()));
+        agents_.push_back(makeAgent("agent-" + name, name, *engines_.back()));
     }
     if (options_.hasBooking) {
         booking_ = makeStandIn("bookings-1", MAGNOLIA_STANDIN_ENGINE, {"--service"});
         booking_->relay = makeRelay(*booking_);
-        agents_.push_back(makeAgent("bookings-1", *booking_));
+        agents_.push_back(makeAgent("agent-bookings-1", "bookings-1", *booking_));
     }
     for (std::size_t i = 0; i < options_.entries; ++i) {
         entries_.push_back(makeEntry(fmt::format("entry-{}", i + 1)));
@@ -200,7 +201,7 @@
     waitForAnswer(*engines_.back());
     // The agents of the engines stand before that of the booking service.
     const auto place = agents_.begin() + static_cast<std::ptrdiff_t>(engines_.size() - 1);
-    Member &agent = **agents_.insert(place, makeAgent(name, *engines_.back()));
+    Member &agent = **agents_.insert(place, makeAgent("agent-" + name, name, *engines_.back()));
     registerInstance(agent, "agent", name);
     startMember(agent);
 }
@@ -228,6 +229,19 @@
     return total;
 }
 
+std::unique_ptr<Member> Deployment::replaceAgent(std::size_t index)
+{
+    const Member &engine = *engines_.at(index);
+    MemberPtr old = std::exchange(agents_.at(index), makeAgent("agent-" + engine.name + "-next", engine.name, engine));
+    CallerRequest removal;
+    removal.method = "DELETE";
+    removal.path = "/instances/" + old->name;
+    require(caller.call(platform_->work.address(), removal).status == 200, "the platform does not forget " + old->name);
+    registerInstance(*agents_.at(index), "agent", engine.name);
+    startMember(*agents_.at(index));
+    return old;
+}
+
 int Deployment::runs(const std::string &marker, const std::string &what)
 {
     std::vector<const Member *> counting;
@@ -311,9 +325,8 @@
     return member;
 }
 
-Deployment::MemberPtr Deployment::makeAgent(const std::string &endpoint, const Member &backEnd) const
+Deployment::MemberPtr Deployment::makeAgent(const std::string &name, const std::string &endpoint, const Member &backEnd) const
 {
-    const std::string name = "agent-" + endpoint;
     auto member = makeMember(name, MAGNOLIA_AGENT);
     member->relay = makeRelay(*member);
     member->platformRelay = makeRelay(*platform_);
--- a/tests/path/src/deployment.h
+++ b/tests/path/src/deployment.h
@@ -105,6 +105,13 @@
     /** Adds a further engine with its agent to the running deployment; the manifest has to name it. */
     void addEngine();
 
+    /**
+     * Starts another agent for the same endpoint, on another instance, and takes the old one off the list.
+     *
+     * @return the old one, which goes on as it was.
+     */
+    std::unique_ptr<Member> replaceAgent(std::size_t index);
+
     Member &entry(std::size_t index)
     {
         return *entries_.at(index);
@@ -165,7 +172,7 @@
     MemberPtr makeStandIn(const std::string &name, const std::string &program, const std::vector<std::string> &arguments) const;
     MemberPtr makeEngine(const std::string &name) const;
     MemberPtr makeEntry(const std::string &name) const;
-    MemberPtr makeAgent(const std::string &endpoint, const Member &backEnd) const;
+    MemberPtr makeAgent(const std::string &name, const std::string &endpoint, const Member &backEnd) const;
     void registerInstance(const Member &member, const std::string &role, const std::string &endpoint);
     void waitForAnswer(const Member &member);
     void waitForService(const Member &entry);
