--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,14 +1,18 @@
 #!/usr/bin/env bash
 # Measures what control costs one real daemon, at several sizes, and fits a line through each series.
-# Prints RESULT lines for docs/CAPACITY.md. `--quick` measures for a shorter time. Everything runs on 127.0.0.1, and every
-# process that is started here is ended here, by its id.
+# Prints RESULT lines for docs/CAPACITY.md. Everything runs on 127.0.0.1, and every process that is started here is ended
+# here, by its id.
+#   scripts/capacity.sh [--quick] [SERIES...]
+# `--quick` measures for a shorter time; without names all series are measured.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 seconds=10
 if [ "${1:-}" = --quick ]; then
     seconds=3
+    shift
 fi
+series=("$@")
 scripts/build.sh
 
 entry=build/apps/magnolia-entry/magnolia-entry
@@ -92,7 +96,7 @@
         for (i = 0; i < organisations; ++i) {
             tier = i % 10 == 0 ? "paying" : "trial"
             printf "[[organisations]]\nname = \"organisation-%d\"\ntier = \"%s\"\n", i, tier
-            own = i == 0 ? hash : sprintf("%064x", i)
+            own = i == 0 ? hash : sprintf("%016x%048x", i, i)
             printf "key_hashes = [\"%s\"]\nmodels = [{ model = \"assistant\", adapters = [\"*\"] }]\n", own
         }
         for (i = 0; i < endpoints; ++i) {
@@ -198,93 +202,111 @@
     }' | tee -a "$work/points"
 }
 
-echo "series x cpu_percent payload_bytes_per_s wire_bytes_per_s rss_mb"
-
-for links in 10 50 130; do
-    start_platform
-    manifest "$links" 10
-    apply
-    start crowd.log "$crowd" agents --count "$links" --platform "$platform" --secret "$secret"
-    wait_for crowd.log ready
-    start_entry
-    wait_until sh -c "curl -sf http://127.0.0.1:$operators_port/readyz"
-    measure entry_links "$links"
-    stop_all
-done
+measure_entry_links() {
+    for links in 10 50 130; do
+        start_platform
+        manifest "$links" 10
+        apply
+        start crowd.log "$crowd" agents --count "$links" --platform "$platform" --secret "$secret"
+        wait_for crowd.log ready
+        start_entry
+        wait_until sh -c "curl -sf http://127.0.0.1:$operators_port/readyz"
+        measure entry_links "$links"
+        stop_all
+    done
+}
 
-for links in 50 200 420; do
-    start_platform
-    manifest 1 10
-    apply
-    start_agent
-    wait_until sh -c "curl -sf http://127.0.0.1:$operators_port/readyz"
-    start crowd.log "$crowd" entries --count "$links" --agent "127.0.0.1:$links_port" --secret "$secret"
-    wait_for crowd.log ready
-    measure agent_links "$links"
-    stop_all
-done
+measure_agent_links() {
+    for links in 50 200 420; do
+        start_platform
+        manifest 1 10
+        apply
+        start_agent
+        wait_until sh -c "curl -sf http://127.0.0.1:$operators_port/readyz"
+        start crowd.log "$crowd" entries --count "$links" --agent "127.0.0.1:$links_port" --secret "$secret"
+        wait_for crowd.log ready
+        measure agent_links "$links"
+        stop_all
+    done
+}
 
-for organisations in 10 2000 20000; do
-    start_platform
-    manifest 10 "$organisations"
-    apply
-    start crowd.log "$crowd" agents --count 10 --platform "$platform" --secret "$secret"
-    wait_for crowd.log ready
-    start_entry
-    wait_until sh -c "curl -sf http://127.0.0.1:$operators_port/readyz"
-    measure entry_organisations "$organisations"
-    stop_all
-done
+measure_entry_organisations() {
+    for organisations in 10 2000 20000; do
+        start_platform
+        manifest 10 "$organisations"
+        apply
+        start crowd.log "$crowd" agents --count 10 --platform "$platform" --secret "$secret"
+        wait_for crowd.log ready
+        start_entry
+        wait_until sh -c "curl -sf http://127.0.0.1:$operators_port/readyz"
+        measure entry_organisations "$organisations"
+        stop_all
+    done
+}
 
-for endpoints in 27 300 1300; do
-    start_platform
-    manifest "$endpoints" 10
-    apply
-    start crowd.log "$crowd" agents --count "$endpoints" --platform "$platform" --secret "$secret"
-    wait_for crowd.log ready
-    start_entry
-    wait_until sh -c "curl -sf http://127.0.0.1:$operators_port/readyz"
-    measure entry_endpoints "$endpoints"
-    stop_all
-done
+measure_entry_endpoints() {
+    for endpoints in 27 300 1300; do
+        start_platform
+        manifest "$endpoints" 10
+        apply
+        start crowd.log "$crowd" agents --count "$endpoints" --platform "$platform" --secret "$secret"
+        wait_for crowd.log ready
+        start_entry
+        wait_until sh -c "curl -sf http://127.0.0.1:$operators_port/readyz"
+        measure entry_endpoints "$endpoints"
+        stop_all
+    done
+}
 
-for rate in 20 100 300; do
-    start_platform
-    manifest 10 10
-    apply
-    start crowd.log "$crowd" agents --count 10 --platform "$platform" --secret "$secret" --chunks 64
-    wait_for crowd.log ready
-    start_entry
-    wait_until sh -c "curl -sf http://127.0.0.1:$operators_port/readyz"
-    start "callers-$rate.log" "$crowd" callers --target "127.0.0.1:$callers_port" --bearer "$bearer" --rate "$rate" --seconds $((seconds + 4))
-    measure entry_requests "$rate"
-    wait_for "callers-$rate.log" "^sent"
-    sed "s/^/  callers at $rate\/s: /" "$work/callers-$rate.log"
-    stop_all
-done
+measure_entry_requests() {
+    for rate in 20 100 300; do
+        start_platform
+        manifest 10 10
+        apply
+        start crowd.log "$crowd" agents --count 10 --platform "$platform" --secret "$secret" --chunks 64
+        wait_for crowd.log ready
+        start_entry
+        wait_until sh -c "curl -sf http://127.0.0.1:$operators_port/readyz"
+        start "callers-$rate.log" "$crowd" callers --target "127.0.0.1:$callers_port" --bearer "$bearer" --rate "$rate" --seconds $((seconds + 4))
+        measure entry_requests "$rate"
+        wait_for "callers-$rate.log" "^sent"
+        sed "s/^/  callers at $rate\/s: /" "$work/callers-$rate.log"
+        stop_all
+    done
+}
 
 # One organisation changes between two applies: what does a change cost a daemon that holds 20,000?
-for changes in 1 4 8; do
-    start_platform
-    manifest 10 20000
-    apply
-    start crowd.log "$crowd" agents --count 10 --platform "$platform" --secret "$secret"
-    wait_for crowd.log ready
-    start_entry
-    wait_until sh -c "curl -sf http://127.0.0.1:$operators_port/readyz"
-    sleep 2
-    before=$(sample)
-    for change in $(seq "$changes"); do
-        sed -i "0,/tier = \"trial\"/s//tier = \"paying\"/" "$work/manifest.toml"
+measure_entry_changes() {
+    for changes in 1 4 8; do
+        start_platform
+        manifest 10 20000
         apply
+        start crowd.log "$crowd" agents --count 10 --platform "$platform" --secret "$secret"
+        wait_for crowd.log ready
+        start_entry
+        wait_until sh -c "curl -sf http://127.0.0.1:$operators_port/readyz"
+        sleep 2
+        before=$(sample)
+        for change in $(seq "$changes"); do
+            sed -i "0,/tier = \"trial\"/s//tier = \"paying\"/" "$work/manifest.toml"
+            apply
+        done
+        sleep "$seconds"
+        after=$(sample)
+        in_force=$(curl -sf "http://127.0.0.1:$operators_port/status" | grep -o '"manifest":{[^}]*}' || true)
+        echo "entry_changes $changes $before $after $(resident_mb)" |
+            awk '{ printf "%s %s %.3f - - %.2f\n", $1, $2, ($6 - $3) / 1e6, $9 }' | tee -a "$work/points"
+        echo "  (processor time in ms in all; the bytes of a change are in manifest_change_cost; in force at the end: $in_force)"
+        stop_all
     done
-    sleep "$seconds"
-    after=$(sample)
-    in_force=$(curl -sf "http://127.0.0.1:$operators_port/status" | grep -o '"manifest":{[^}]*}' || true)
-    echo "entry_changes $changes $before $after $(resident_mb)" |
-        awk '{ printf "%s %s %.3f %.0f %.0f %.2f\n", $1, $2, ($6 - $3) / 1e6, $7 - $4, $7 - $4, $9 }' | tee -a "$work/points"
-    echo "  (cpu in ms and bytes in all, not per second; in force at the end: $in_force)"
-    stop_all
+}
+
+if [ ${#series[@]} -eq 0 ]; then
+    series=(entry_links agent_links entry_organisations entry_endpoints entry_requests entry_changes)
+fi
+echo "series x cpu_percent payload_bytes_per_s wire_bytes_per_s rss_mb"
+for name in "${series[@]}"; do
+    "measure_$name"
 done
 
 # A least-squares line through each series; the error is the largest distance of a point from it.
@@ -309,8 +331,10 @@
     END {
         for (series in n) {
             fit(series, cpu, "cpu")
-            fit(series, payload, "payload")
-            fit(series, wire, "wire")
+            if (payload[series, 1] != "-") {
+                fit(series, payload, "payload")
+                fit(series, wire, "wire")
+            }
             fit(series, rss, "rss_mb")
         }
     }
