--- a/cmake/MagnoliaDependencies.cmake
+++ b/cmake/MagnoliaDependencies.cmake
@@ -1,7 +1,11 @@
 # Every library the project uses, as a target. All of them are Debian packages (see scripts/install-packages.sh).
 find_package(PkgConfig REQUIRED)
 find_package(Threads REQUIRED)
-find_package(Boost 1.74 REQUIRED COMPONENTS unit_test_framework filesystem)
+if(MAGNOLIA_TESTS)
+    find_package(Boost 1.74 REQUIRED COMPONENTS unit_test_framework filesystem)
+else()
+    find_package(Boost 1.74 REQUIRED)
+endif()
 find_package(nlohmann_json 3.11 REQUIRED)
 find_package(spdlog REQUIRED)
 find_package(OpenSSL REQUIRED)
--- /dev/null
+++ b/libs/forward/src/endpointconnections.cpp
@@ -0,0 +1,78 @@
+#include "endpointconnections.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnolia::forward
+{
+
+namespace
+{
+
+constexpr Duration SweepInterval{500};
+
+} // namespace
+
+EndpointConnections::EndpointConnections(event_base *loop) : sweepTimer_(loop, [this] { sweep(); })
+{
+    sweepTimer_.start(SweepInterval);
+}
+
+std::shared_ptr<http::Connection> EndpointConnections::take(std::string_view endpoint, Duration longestIdle)
+{
+    const auto found = idle_.find(endpoint);
+    if (found == idle_.end()) {
+        return nullptr;
+    }
+    const BootTime now = BootClock::now();
+    std::vector<Idle> &idle = found->second;
+    while (!idle.empty()) {
+        Idle last = std::move(idle.back());
+        idle.pop_back();
+        last.connection->setCallbacks({});
+        if (last.connection->isOpen() && now < last.until && now - last.since <= longestIdle) {
+            return last.connection;
+        }
+        last.connection->close();
+    }
+    return nullptr;
+}
+
+void EndpointConnections::keep(const std::string &endpoint, std::shared_ptr<http::Connection> connection, Duration keepFor)
+{
+    const BootTime now = BootClock::now();
+    http::Connection *kept = connection.get();
+    kept->setCallbacks({.onData = [kept](std::string_view) { kept->close(); }});
+    kept->setReading(true);
+    idle_[endpoint].push_back({.connection = std::move(connection), .since = now, .until = now + keepFor});
+}
+
+void EndpointConnections::closeAll(std::string_view endpoint)
+{
+    const auto found = idle_.find(endpoint);
+    if (found == idle_.end()) {
+        return;
+    }
+    for (const Idle &idle : found->second) {
+        idle.connection->close();
+    }
+    idle_.erase(found);
+}
+
+void EndpointConnections::sweep()
+{
+    const BootTime now = BootClock::now();
+    for (auto entry = idle_.begin(); entry != idle_.end();) {
+        std::erase_if(entry->second, [now](const Idle &idle) {
+            if (idle.connection->isOpen() && now < idle.until) {
+                return false;
+            }
+            idle.connection->close();
+            return true;
+        });
+        entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
+    }
+    sweepTimer_.start(SweepInterval);
+}
+
+} // namespace magnolia::forward
--- /dev/null
+++ b/libs/forward/src/forwarding.cpp
@@ -0,0 +1,624 @@
+#include "forwarding.h"
+
+#include "base/errorcode.h"
+#include "http/errorbody.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <charconv>
+#include <random>
+#include <utility>
+
+namespace magnolia::forward
+{
+
+namespace
+{
+
+using routing::EndpointSign;
+using routing::RouteKind;
+
+constexpr int StatusOk = 200;
+constexpr int FirstRedirect = 300;
+constexpr int FirstServerError = 500;
+constexpr int StatusUnauthorised = 401;
+constexpr int StatusNotFound = 404;
+constexpr int StatusMisdirected = 421;
+constexpr int StatusBadGateway = 502;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusTimeout = 504;
+
+// A request that states no deadline and whose route has no timeout.
+constexpr Duration UsualDeadline{30000};
+
+// The final answer leaves so long before the caller's deadline, so that it arrives in time.
+constexpr Duration DeadlineMargin{40};
+
+// A dialled endpoint in the same region answers within a few milliseconds; a lost packet is sent again after about a
+// second, and by then another endpoint could have answered.
+constexpr Duration ConnectTimeout{400};
+
+// An answer to a request that may be repeated is waited for so many times the route's objective before another endpoint is
+// tried: long enough for one that is merely slow, and short enough that the other's answer is in time to be of use.
+constexpr int ObjectivesBeforeRepeat = 2;
+
+// Callers abandon a stream after about two seconds without an event. A stream that has been silent for less than that is
+// moved, if it may be, so that the next endpoint's first event still finds its caller.
+constexpr Duration StreamSilence{1700};
+
+// For a request that may run at most once only a connection is used that the endpoint is not likely to be closing just
+// now: if it were, nobody could tell whether the request ran.
+constexpr Duration LongestIdleAtMostOnce{1000};
+constexpr Duration LongestIdle{60000};
+
+// With nobody to send to, or only refusals: engines that restart are back after about a second.
+constexpr Duration RetryAfterUnavailable{800};
+constexpr Duration RetryAfterNoProof{1000};
+
+// Beyond this the endpoint is not read any more until the caller has taken some.
+constexpr std::size_t MostPendingBytes = 256U << 10U;
+
+// A whole answer is held in memory until it has come; more than this is no answer to a request of this kind.
+constexpr std::size_t MostAnswerBytes = 16U << 20U;
+
+constexpr std::string_view EventStream = "text/event-stream";
+
+bool isSuccess(int status)
+{
+    return status >= StatusOk && status < FirstRedirect;
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::optional<std::uint64_t> numberOf(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() && !text.empty();
+    return isNumber ? std::optional(number) : std::nullopt;
+}
+
+} // namespace
+
+Forwarding::Forwarding(ForwardCore &core, AnswerSink &sink, CallerMessage request)
+    : core_(core), sink_(&sink), request_(std::move(request)), requestId_(request_.head.headers.value(core.options.protocol.requestId)), timer_(core.loop, [this] {
+          timerFired();
+      })
+{
+    core_.metrics.requests.add();
+    core_.metrics.inProgress.add(1);
+}
+
+Forwarding::~Forwarding()
+{
+    core_.metrics.inProgress.add(-1);
+    if (call_ != nullptr) {
+        endCall(EndpointSign::Refused);
+    }
+}
+
+void Forwarding::start()
+{
+    const auto self = shared_from_this();
+    setDeadline();
+    routes_ = core_.routes;
+    if (routes_ == nullptr) {
+        refuse(StatusUnavailable, RetryAfterNoProof, "no routes are known yet");
+        return;
+    }
+    if (!findRoute() || !findOrganisation()) {
+        return;
+    }
+    const double point = std::uniform_real_distribution<double>(0, 1)(core_.random);
+    service_ = routing::pickTarget(*route_, point).service;
+    core_.allowanceOf(service_).requestCame(BootClock::now());
+    if (const auto resumed = numberOf(request_.head.headers.value(core_.options.protocol.lastEventId))) {
+        cutter_.startAfter(*resumed);
+    }
+    if (route_->timeout.count() > 0) {
+        deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
+    }
+    sendNext();
+}
+
+bool Forwarding::findRoute()
+{
+    route_ = routes_->match(request_.head.headers.value("host"), pathOf(request_.head.target));
+    if (route_ != nullptr) {
+        return true;
+    }
+    if (!core_.proof.isFresh(BootClock::now())) {
+        refuse(StatusUnavailable, RetryAfterNoProof, "no route is known, and a newer version may have one");
+        return false;
+    }
+    answerOwn(StatusNotFound, std::nullopt, "no route leads there");
+    return false;
+}
+
+bool Forwarding::findOrganisation()
+{
+    if (!routes_->needsKeys() || route_->isPublic) {
+        return true;
+    }
+    if (!core_.proof.isFresh(BootClock::now())) {
+        refuse(StatusUnavailable, RetryAfterNoProof, "it is not proved that the known keys are still valid");
+        return false;
+    }
+    organisation_ = routes_->organisationOf(request_.head.headers.value(core_.options.protocol.key));
+    if (organisation_ == nullptr) {
+        answerOwn(StatusUnauthorised, std::nullopt, "no organisation holds that key");
+        return false;
+    }
+    return true;
+}
+
+void Forwarding::setDeadline()
+{
+    const auto stated = numberOf(request_.head.headers.value(core_.options.protocol.deadline));
+    const Duration allowed = stated ? Duration(*stated) : UsualDeadline;
+    deadline_ = request_.receivedAt + std::max(allowed - DeadlineMargin, Duration(0));
+}
+
+BootClock::duration Forwarding::left() const
+{
+    return deadline_ - BootClock::now();
+}
+
+void Forwarding::sendNext()
+{
+    if (left().count() <= 0) {
+        giveUp();
+        return;
+    }
+    const BootTime now = BootClock::now();
+    const routing::EndpointPointer endpoint = core_.endpoints.choose({.service = service_, .tried = tried_}, now, core_.random);
+    if (endpoint != nullptr) {
+        send(endpoint);
+        return;
+    }
+    if (fallback_) {
+        passOn(std::move(*fallback_));
+    } else if (isStreaming_) {
+        cutStream("no other endpoint takes work");
+    } else if (mayHaveRun_) {
+        fail(StatusBadGateway, "no other endpoint takes work");
+    } else {
+        refuse(StatusUnavailable, RetryAfterUnavailable, tried_.empty() ? "no endpoint takes work" : "all endpoints refused");
+    }
+}
+
+void Forwarding::send(const routing::EndpointPointer &endpoint)
+{
+    endpoint_ = endpoint;
+    sentAt_ = BootClock::now();
+    heardAt_ = sentAt_;
+    incoming_ = {};
+    isStreamAnswer_ = false;
+    tried_.push_back(endpoint->record.id);
+    const bool isAtMostOnce = route_->kind == RouteKind::AtMostOnce;
+    call_ = std::make_shared<EndpointCall>(EndpointCall::Options{.loop = core_.loop,
+                                                                 .connections = &core_.connections,
+                                                                 .protocol = &core_.options.protocol,
+                                                                 .endpoint = endpoint,
+                                                                 .requestId = requestId_,
+                                                                 .message = messageFor(*endpoint),
+                                                                 .isHead = request_.head.method == "HEAD",
+                                                                 .longestIdle = isAtMostOnce ? LongestIdleAtMostOnce : LongestIdle},
+                                           EndpointCall::Callbacks{.onHead = [this](http::MessageHead &head) { headCame(head); },
+                                                                   .onBody = [this](std::string_view piece) { bodyCame(piece); },
+                                                                   .onEnd = [this](CallEnd end) { callEnded(end); }});
+    ++endpoint->inFlight;
+    ++sendings_;
+    core_.metrics.sendings.add();
+    if (!call_->start()) {
+        callEnded(CallEnd::NotSent);
+        return;
+    }
+    startTimer();
+}
+
+std::string Forwarding::messageFor(const routing::Endpoint &endpoint) const
+{
+    const Protocol &protocol = core_.options.protocol;
+    http::HeaderList headers = request_.head.headers;
+    headers.removeHopByHop();
+    headers.remove(protocol.key);
+    headers.remove(protocol.organisation);
+    headers.remove(protocol.notRun);
+    headers.remove("expect");
+    const auto milliseconds = std::chrono::duration_cast<Duration>(left());
+    headers.set(protocol.deadline, std::to_string(std::max<Duration::rep>(milliseconds.count(), 1)));
+    headers.set(protocol.expectedInstance, endpoint.record.id);
+    if (organisation_ != nullptr) {
+        headers.set(protocol.organisation, organisation_->name);
+    }
+    const auto priority = organisation_ != nullptr && organisation_->priority ? organisation_->priority : route_->priority;
+    if (priority && route_->kind == RouteKind::Stream) {
+        headers.set(protocol.priority, std::to_string(*priority));
+    }
+    if (cutter_.lastId()) {
+        headers.set(protocol.lastEventId, std::to_string(*cutter_.lastId()));
+    }
+    std::string message = request_.head.method + " " + request_.head.target + " HTTP/1.1\r\n";
+    headers.appendTo(message);
+    const bool mayHaveBody = !request_.body.empty() || request_.head.method == "POST" || request_.head.method == "PUT" || request_.head.method == "PATCH";
+    if (mayHaveBody) {
+        message.append("Content-Length: ").append(std::to_string(request_.body.size())).append("\r\n");
+    }
+    message.append("\r\n").append(request_.body);
+    return message;
+}
+
+bool Forwarding::mayRepeat() const
+{
+    return route_->kind == RouteKind::Idempotent || (route_->kind == RouteKind::Stream && route_->isResumable);
+}
+
+/** Sends it elsewhere if kind, bound and budget allow. @return false if not. */
+bool Forwarding::retry(std::string_view cause)
+{
+    const bool isAllowed = !mayHaveRun_ || mayRepeat();
+    if (!isAllowed || tried_.size() >= route_->maxEndpoints || left().count() <= 0) {
+        return false;
+    }
+    if (!core_.allowanceOf(service_).tryRetry(BootClock::now())) {
+        core_.metrics.retriesDenied.add();
+        return false;
+    }
+    core_.log.sendingEnded(requestId_, tried_.back(), cause, incoming_.head.status, "retry");
+    core_.metrics.retries.add();
+    hasRetried_ = true;
+    if (isStreaming_) {
+        core_.metrics.resumed.add();
+    }
+    sendNext();
+    return true;
+}
+
+void Forwarding::headCame(http::MessageHead &head)
+{
+    const auto self = shared_from_this();
+    heardAt_ = BootClock::now();
+    const Protocol &protocol = core_.options.protocol;
+    if (protocol.parseLoad != nullptr) {
+        if (const auto load = protocol.parseLoad(head.headers.value(protocol.load))) {
+            routing::EndpointTable::reported(*endpoint_, *load, heardAt_);
+        }
+    }
+    incoming_.head = head;
+    const bool isEvents = head.headers.value("content-type").starts_with(EventStream);
+    isStreamAnswer_ = route_->kind == RouteKind::Stream && isSuccess(head.status) && isEvents;
+    if (isStreamAnswer_) {
+        cutter_.beginNextRun();
+    }
+}
+
+void Forwarding::bodyCame(std::string_view piece)
+{
+    const auto self = shared_from_this();
+    heardAt_ = BootClock::now();
+    if (isStreamAnswer_) {
+        streamPieceCame(piece);
+        return;
+    }
+    incoming_.body.append(piece);
+    if (incoming_.body.size() > MostAnswerBytes) {
+        mayHaveRun_ = true;
+        endCall(EndpointSign::Answered);
+        fail(StatusBadGateway, "the answer is over the limit");
+    }
+}
+
+void Forwarding::streamPieceCame(std::string_view piece)
+{
+    const std::string_view events = cutter_.feed(piece);
+    if (cutter_.hasGap()) {
+        callEnded(CallEnd::Spoilt);
+        return;
+    }
+    if (events.empty()) {
+        return;
+    }
+    if (!isStreaming_) {
+        isStreaming_ = true;
+        firstByteAt_ = heardAt_;
+        core_.metrics.firstByte.record(heardAt_ - request_.receivedAt);
+        http::HeaderList headers = incoming_.head.headers;
+        headers.removeHopByHop();
+        sink_->beginStream(incoming_.head.status, headers);
+    }
+    if (sink_ == nullptr) {
+        return;
+    }
+    ++events_;
+    sink_->sendPiece(events);
+    if (sink_ != nullptr && call_ != nullptr && sink_->pendingBytes() > MostPendingBytes) {
+        call_->setReading(false);
+    }
+}
+
+void Forwarding::callerDrained()
+{
+    if (call_ != nullptr) {
+        call_->setReading(true);
+    }
+}
+
+void Forwarding::callEnded(CallEnd end)
+{
+    const auto self = shared_from_this();
+    if (call_ == nullptr) {
+        return;
+    }
+    if (isStreamAnswer_) {
+        streamEnded(end);
+        return;
+    }
+    if (end == CallEnd::Whole) {
+        wholeAnswerCame();
+        return;
+    }
+    const bool isUnsent = end == CallEnd::NotSent;
+    mayHaveRun_ = mayHaveRun_ || !isUnsent;
+    endCall(isUnsent ? EndpointSign::Unreachable : EndpointSign::Failed);
+    if (isUnsent) {
+        // It reached nobody, so it counts neither against the route's bound nor, for the endpoint, as an arrival.
+        tried_.pop_back();
+        endpoint_->avoidUntil = std::max(endpoint_->avoidUntil, BootClock::now() + ConnectTimeout);
+        const bool mayDialAgain = sendings_ <= core_.endpoints.ofService(service_).size();
+        if (mayDialAgain && left().count() > 0) {
+            core_.log.sendingEnded(requestId_, endpoint_->record.id, toString(end), 0, "dial another");
+            sendNext();
+            return;
+        }
+    }
+    if (retry(toString(end))) {
+        return;
+    }
+    if (fallback_) {
+        passOn(std::move(*fallback_));
+    } else if (isStreaming_) {
+        cutStream(toString(end));
+    } else if (mayHaveRun_) {
+        fail(StatusBadGateway, toString(end));
+    } else {
+        refuse(StatusUnavailable, RetryAfterUnavailable, toString(end));
+    }
+}
+
+void Forwarding::wholeAnswerCame()
+{
+    const int status = incoming_.head.status;
+    const Protocol &protocol = core_.options.protocol;
+    const bool isNotRun = status == StatusMisdirected || incoming_.head.headers.find(protocol.notRun) != nullptr;
+    if (isNotRun) {
+        // The expected instance is not at that address any more, or the endpoint has no room.
+        endCall(status == StatusMisdirected ? EndpointSign::Unreachable : EndpointSign::Refused);
+        if (retry("not-run")) {
+            return;
+        }
+        if (fallback_) {
+            passOn(std::move(*fallback_));
+        } else if (isStreaming_) {
+            cutStream("all endpoints refused");
+        } else if (mayHaveRun_) {
+            fail(StatusBadGateway, "an earlier sending may have run");
+        } else {
+            refuse(StatusUnavailable, RetryAfterUnavailable, "endpoints refused");
+        }
+        return;
+    }
+    mayHaveRun_ = true;
+    const bool isProved = incoming_.head.headers.find(protocol.answerProof) != nullptr;
+    if (isSuccess(status) && !isProved) {
+        callEnded(CallEnd::Spoilt);
+        return;
+    }
+    const bool isFailure = status >= FirstServerError;
+    endCall(isFailure ? EndpointSign::Failed : EndpointSign::Answered);
+    if (isStreaming_) {
+        if (!retry("failure")) {
+            cutStream("the endpoint that should go on failed");
+        }
+        return;
+    }
+    if (isFailure && mayRepeat()) {
+        HeldAnswer failure = std::move(incoming_);
+        incoming_ = {};
+        incoming_.head.status = status;
+        fallback_ = std::move(failure);
+        if (retry("failure")) {
+            return;
+        }
+        passOn(std::move(*fallback_));
+        return;
+    }
+    passOn(std::move(incoming_));
+}
+
+void Forwarding::streamEnded(CallEnd end)
+{
+    mayHaveRun_ = true;
+    const bool isWhole = end == CallEnd::Whole && cutter_.isAtBoundary() && isStreaming_;
+    endCall(isWhole ? EndpointSign::Answered : EndpointSign::Failed);
+    if (isWhole) {
+        sink_->endStream();
+        core_.metrics.answers.add();
+        finish("answered", incoming_.head.status, "");
+        return;
+    }
+    if (retry(toString(end))) {
+        return;
+    }
+    if (isStreaming_) {
+        cutStream(toString(end));
+    } else {
+        fail(StatusBadGateway, toString(end));
+    }
+}
+
+void Forwarding::passOn(HeldAnswer answer)
+{
+    answer.head.headers.removeHopByHop();
+    firstByteAt_ = BootClock::now();
+    sink_->answer(answer.head.status, answer.head.headers, answer.body);
+    core_.metrics.answers.add();
+    core_.metrics.firstByte.record(firstByteAt_ - request_.receivedAt);
+    finish("answered", answer.head.status, hasRetried_ ? "retried" : "");
+}
+
+void Forwarding::startTimer()
+{
+    const BootTime now = BootClock::now();
+    BootTime next = deadline_;
+    if (call_ != nullptr) {
+        if (!call_->isConnected()) {
+            next = std::min(next, sentAt_ + ConnectTimeout);
+        } else if (route_->kind == RouteKind::Stream) {
+            next = std::min(next, heardAt_ + StreamSilence);
+        } else if (route_->kind == RouteKind::Idempotent && route_->latencyObjective.count() > 0) {
+            next = std::min(next, sentAt_ + ObjectivesBeforeRepeat * route_->latencyObjective);
+        }
+    }
+    constexpr Duration Soonest{5}; // A bound that has passed without effect must not spin.
+    timer_.start(std::max(std::chrono::ceil<Duration>(next - now), Soonest));
+}
+
+void Forwarding::timerFired()
+{
+    const auto self = shared_from_this();
+    const BootTime now = BootClock::now();
+    if (now >= deadline_) {
+        giveUp();
+        return;
+    }
+    if (call_ == nullptr) {
+        return;
+    }
+    if (!call_->isConnected() && now >= sentAt_ + ConnectTimeout) {
+        callEnded(CallEnd::NotSent);
+        return;
+    }
+    const bool isSilentStream = route_->kind == RouteKind::Stream && now >= heardAt_ + StreamSilence;
+    const bool isSlow = route_->kind == RouteKind::Idempotent && now >= sentAt_ + ObjectivesBeforeRepeat * route_->latencyObjective;
+    const bool couldMove = mayRepeat() && tried_.size() < route_->maxEndpoints;
+    if ((isSilentStream || isSlow) && couldMove && core_.allowanceOf(service_).tryRetry(now)) {
+        core_.connections.closeAll(endpoint_->record.id);
+        mayHaveRun_ = true;
+        core_.log.sendingEnded(requestId_, endpoint_->record.id, "silent", 0, "retry");
+        core_.metrics.retries.add();
+        hasRetried_ = true;
+        endCall(EndpointSign::Failed);
+        sendNext();
+        return;
+    }
+    startTimer();
+}
+
+void Forwarding::giveUp()
+{
+    const bool wasSent = call_ != nullptr && call_->hasSent();
+    if (call_ != nullptr) {
+        if (!call_->hasAnswer()) {
+            core_.connections.closeAll(endpoint_->record.id); // It may be silent for good, and its siblings with it.
+        }
+        mayHaveRun_ = mayHaveRun_ || wasSent;
+        endCall(EndpointSign::Failed);
+    }
+    if (isStreaming_) {
+        cutStream("time is up");
+    } else if (fallback_) {
+        passOn(std::move(*fallback_));
+    } else if (mayHaveRun_) {
+        fail(StatusTimeout, "time is up");
+    } else {
+        refuse(StatusUnavailable, RetryAfterUnavailable, "time is up");
+    }
+}
+
+void Forwarding::endCall(routing::EndpointSign sign)
+{
+    const auto call = std::exchange(call_, nullptr);
+    if (call == nullptr) {
+        return;
+    }
+    call->cancel();
+    timer_.stop();
+    --endpoint_->inFlight;
+    routing::EndpointTable::signSeen(*endpoint_, sign, BootClock::now());
+}
+
+void Forwarding::refuse(int status, Duration retryAfter, std::string_view cause)
+{
+    core_.metrics.refusals.add();
+    answerOwn(status, retryAfter, cause);
+}
+
+void Forwarding::fail(int status, std::string_view cause)
+{
+    core_.metrics.failures.add();
+    answerOwn(status, std::nullopt, cause);
+}
+
+void Forwarding::answerOwn(int status, std::optional<Duration> retryAfter, std::string_view cause)
+{
+    const Verdict verdict = mayHaveRun_ ? Verdict::MayHaveRun : Verdict::NotRun;
+    const ErrorCode code = status == StatusUnauthorised ? ErrorCode::Unauthorised
+        : status == StatusNotFound                      ? ErrorCode::NotFound
+        : status == StatusTimeout                       ? ErrorCode::DeadlineExceeded
+                                                        : ErrorCode::Unavailable;
+    const Failure failure{.code = code, .verdict = verdict, .detail = std::string(cause), .retryAfter = retryAfter};
+    http::HeaderList headers;
+    if (!requestId_.empty()) {
+        headers.add(core_.options.protocol.requestId, requestId_);
+    }
+    headers.add("Content-Type", "application/json");
+    if (retryAfter) {
+        headers.add("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(*retryAfter).count()));
+    }
+    sink_->answer(status, headers, http::errorBody(failure, requestId_));
+    finish(mayHaveRun_ ? "failed" : "refused", status, cause);
+}
+
+void Forwarding::cutStream(std::string_view cause)
+{
+    core_.metrics.failures.add();
+    sink_->cut();
+    finish("cut", 0, cause);
+}
+
+void Forwarding::callerLeft()
+{
+    const auto self = shared_from_this();
+    core_.metrics.hangups.add();
+    endCall(EndpointSign::Refused);
+    finish("hung-up", 0, "the caller left");
+}
+
+void Forwarding::finish(std::string_view outcome, int status, std::string_view cause)
+{
+    sink_ = nullptr;
+    timer_.stop();
+    const BootTime now = BootClock::now();
+    core_.metrics.whole.record(now - request_.receivedAt);
+    core_.log.write({.requestId = requestId_,
+                     .route = route_ == nullptr ? std::string_view() : std::string_view(route_->name),
+                     .service = service_,
+                     .organisation = organisation_ == nullptr ? std::string_view() : std::string_view(organisation_->name),
+                     .routesVersion = routes_ == nullptr ? 0 : routes_->version(),
+                     .proofAge = core_.proof.age(now),
+                     .endpoint = tried_.empty() ? std::string_view() : std::string_view(tried_.back()),
+                     .sendings = sendings_,
+                     .status = status,
+                     .outcome = outcome,
+                     .cause = cause,
+                     .took = now - request_.receivedAt,
+                     .firstByte = firstByteAt_ == BootTime() ? BootClock::duration(0) : firstByteAt_ - request_.receivedAt,
+                     .events = events_});
+}
+
+} // namespace magnolia::forward
--- /dev/null
+++ b/libs/forward/src/forwarding.h
@@ -0,0 +1,114 @@
+#ifndef MAGNOLIA_FORWARD_FORWARDING_H
+#define MAGNOLIA_FORWARD_FORWARDING_H
+
+#include "answersink.h"
+#include "endpointcall.h"
+#include "eventcutter.h"
+#include "forwardcore.h"
+#include "http/timer.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnolia::forward
+{
+
+/**
+ * One request of a caller, from its route to the end of its answer.
+ *
+ * Sends it to one endpoint after the other as far as its kind, the route's bound and the retry budget allow. Whatever may
+ * have run is never sent again unless its route says that it may, and is never refused as not run. Owned by shared_ptr by
+ * the caller's connection, which is its sink and outlives it or calls callerLeft(). On its loop's thread.
+ */
+class Forwarding : public std::enable_shared_from_this<Forwarding>
+{
+public:
+    Forwarding(ForwardCore &core, AnswerSink &sink, CallerMessage request);
+    ~Forwarding();
+    Forwarding(const Forwarding &) = delete;
+    Forwarding &operator=(const Forwarding &) = delete;
+
+    void start();
+
+    /** The caller closed its connection: the endpoint is told to stop, and the sink is not used any more. */
+    void callerLeft();
+
+    /** The caller has taken what was queued for it. */
+    void callerDrained();
+
+private:
+    struct HeldAnswer {
+        http::MessageHead head;
+        std::string body;
+    };
+
+    // Admission.
+    bool findRoute();
+    bool findOrganisation();
+    void setDeadline();
+
+    // Sendings.
+    void sendNext();
+    void send(const routing::EndpointPointer &endpoint);
+    std::string messageFor(const routing::Endpoint &endpoint) const;
+    bool mayRepeat() const;
+    bool retry(std::string_view cause);
+
+    // Answers.
+    void headCame(http::MessageHead &head);
+    void bodyCame(std::string_view piece);
+    void callEnded(CallEnd end);
+    void wholeAnswerCame();
+    void streamPieceCame(std::string_view piece);
+    void streamEnded(CallEnd end);
+    void passOn(HeldAnswer answer);
+
+    // Ends.
+    void timerFired();
+    void startTimer();
+    void giveUp();
+    void endCall(routing::EndpointSign sign);
+    void refuse(int status, Duration retryAfter, std::string_view cause);
+    void fail(int status, std::string_view cause);
+    void answerOwn(int status, std::optional<Duration> retryAfter, std::string_view cause);
+    void cutStream(std::string_view cause);
+    void finish(std::string_view outcome, int status, std::string_view cause);
+
+    BootClock::duration left() const;
+
+    ForwardCore &core_;
+    AnswerSink *sink_; ///< Null once the request has ended or the caller has left.
+    CallerMessage request_;
+    std::string requestId_;
+    routing::RouteTable::Pointer routes_; ///< Kept, since route_ and organisation_ point into it.
+    const routing::Route *route_ = nullptr;
+    const routing::Organisation *organisation_ = nullptr;
+    std::string service_;
+    BootTime deadline_; ///< The final answer is due by then.
+    http::Timer timer_;
+
+    std::vector<std::string> tried_; ///< Ids of endpoints.
+    std::uint32_t sendings_ = 0;
+    bool mayHaveRun_ = false;
+    bool hasRetried_ = false;
+    std::shared_ptr<EndpointCall> call_;
+    routing::EndpointPointer endpoint_; ///< Of the call in progress.
+    BootTime sentAt_;
+    BootTime heardAt_; ///< When something last came from the endpoint.
+    HeldAnswer incoming_;
+    std::optional<HeldAnswer> fallback_; ///< An endpoint's failure, passed on if nothing better comes.
+
+    bool isStreaming_ = false; ///< The caller has the head of a stream.
+    bool isStreamAnswer_ = false; ///< The call's answer is a stream of events.
+    EventCutter cutter_;
+    std::uint64_t events_ = 0;
+    BootTime firstByteAt_;
+};
+
+} // namespace magnolia::forward
+
+#endif
--- /dev/null
+++ b/libs/forward/src/forwardmetrics.h
@@ -0,0 +1,49 @@
+#ifndef MAGNOLIA_FORWARD_FORWARDMETRICS_H
+#define MAGNOLIA_FORWARD_FORWARDMETRICS_H
+
+#include "observe/metrics.h"
+
+namespace magnolia::forward
+{
+
+/** The counters of an entry that passes requests on. */
+class ForwardMetrics
+{
+public:
+    explicit ForwardMetrics(observe::Metrics &metrics)
+        : requests(metrics.counter("magnolia_forward_requests_total", "Requests received whole."))
+        , sendings(metrics.counter("magnolia_forward_sendings_total", "Requests sent to endpoints, first and repeated."))
+        , retries(metrics.counter("magnolia_forward_retries_total", "Sendings beyond the first of a request."))
+        , retriesDenied(metrics.counter("magnolia_forward_retries_denied_total", "Retries that the shared budget did not allow."))
+        , answers(metrics.counter("magnolia_forward_answers_total", "Endpoints' answers passed on whole."))
+        , refusals(metrics.counter("magnolia_forward_refusals_total", "Requests refused as not run."))
+        , failures(metrics.counter("magnolia_forward_failures_total", "Requests that ended without a whole answer and may have run."))
+        , hangups(metrics.counter("magnolia_forward_hangups_total", "Requests whose callers left."))
+        , resumed(metrics.counter("magnolia_forward_streams_resumed_total", "Streams that went on at another endpoint."))
+        , callers(metrics.gauge("magnolia_forward_caller_connections", "Open connections of callers."))
+        , inProgress(metrics.gauge("magnolia_forward_in_progress", "Requests in progress."))
+        , routesVersion(metrics.gauge("magnolia_forward_routes_version", "Version of the routes in force."))
+        , firstByte(metrics.timing("magnolia_forward_first_byte_seconds", "From a request to the first byte of its answer."))
+        , whole(metrics.timing("magnolia_forward_whole_seconds", "From a request to the end of its answer."))
+    {
+    }
+
+    observe::Counter &requests;
+    observe::Counter &sendings;
+    observe::Counter &retries;
+    observe::Counter &retriesDenied;
+    observe::Counter &answers;
+    observe::Counter &refusals;
+    observe::Counter &failures;
+    observe::Counter &hangups;
+    observe::Counter &resumed;
+    observe::Gauge &callers;
+    observe::Gauge &inProgress;
+    observe::Gauge &routesVersion;
+    observe::Timing &firstByte;
+    observe::Timing &whole;
+};
+
+} // namespace magnolia::forward
+
+#endif
--- /dev/null
+++ b/libs/forward/src/requestlog.cpp
@@ -0,0 +1,77 @@
+#include "requestlog.h"
+
+#include "observe/log.h"
+
+namespace magnolia::forward
+{
+
+namespace
+{
+
+// A line costs some ten microseconds; an entry at its limit of some hundred requests a second stays under 1% with this.
+constexpr std::uint32_t LinesPerSecond = 150;
+
+std::shared_ptr<spdlog::logger> log()
+{
+    static const auto instance = observe::logger("request");
+    return instance;
+}
+
+std::int64_t milliseconds(BootClock::duration duration)
+{
+    return std::chrono::duration_cast<Duration>(duration).count();
+}
+
+} // namespace
+
+void RequestLog::write(const RequestRecord &record)
+{
+    if (!mayWrite()) {
+        return;
+    }
+    log()->info("Ended id={} outcome={} status={} cause={} route={} service={} organisation={} endpoint={} sendings={} took_ms={} first_ms={} events={} "
+                "routes_version={} proof_age_ms={}",
+                record.requestId,
+                record.outcome,
+                record.status,
+                record.cause,
+                record.route,
+                record.service,
+                record.organisation,
+                record.endpoint,
+                record.sendings,
+                milliseconds(record.took),
+                milliseconds(record.firstByte),
+                record.events,
+                record.routesVersion,
+                milliseconds(record.proofAge));
+}
+
+void RequestLog::sendingEnded(std::string_view requestId, std::string_view endpoint, std::string_view end, int status, std::string_view decision)
+{
+    if (!mayWrite()) {
+        return;
+    }
+    log()->info("Sending failed id={} endpoint={} end={} status={} decision={}", requestId, endpoint, end, status, decision);
+}
+
+bool RequestLog::mayWrite()
+{
+    const BootTime now = BootClock::now();
+    if (now - second_ >= std::chrono::seconds(1)) {
+        if (leftOut_ > 0) {
+            log()->info("Lines left out={} in the time since the last", leftOut_);
+        }
+        second_ = now;
+        written_ = 0;
+        leftOut_ = 0;
+    }
+    if (written_ >= LinesPerSecond) {
+        ++leftOut_;
+        return false;
+    }
+    ++written_;
+    return true;
+}
+
+} // namespace magnolia::forward
--- /dev/null
+++ b/libs/forward/src/requestlog.h
@@ -0,0 +1,55 @@
+#ifndef MAGNOLIA_FORWARD_REQUESTLOG_H
+#define MAGNOLIA_FORWARD_REQUESTLOG_H
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace magnolia::forward
+{
+
+/** What decided how one request ended, for whoever looks for its cause later. */
+struct RequestRecord {
+    std::string_view requestId{};
+    std::string_view route{};
+    std::string_view service{};
+    std::string_view organisation{};
+    std::uint64_t routesVersion = 0;
+    BootClock::duration proofAge{}; ///< Of the proof that those routes were the newest.
+    std::string_view endpoint{}; ///< The last one tried.
+    std::uint32_t sendings = 0; ///< To endpoints.
+    int status = 0; ///< Told to the caller; 0: none, the connection was closed.
+    std::string_view outcome{}; ///< One of few words.
+    std::string_view cause{}; ///< Of an outcome other than an endpoint's answer passed on.
+    BootClock::duration took{};
+    BootClock::duration firstByte{}; ///< From the request to its answer's first byte; 0: none.
+    std::uint64_t events = 0; ///< Of a stream.
+};
+
+/**
+ * Writes one line for each request that did not simply get its answer, and a sample of the others.
+ *
+ * The volume is bounded per second; what is left out is counted, and the count is written with the next second's first
+ * line. One per entry.
+ */
+class RequestLog
+{
+public:
+    void write(const RequestRecord &record);
+
+    /** One sending that did not end with an answer passed on. */
+    void sendingEnded(std::string_view requestId, std::string_view endpoint, std::string_view end, int status, std::string_view decision);
+
+private:
+    bool mayWrite();
+
+    BootTime second_;
+    std::uint32_t written_ = 0; ///< In this second.
+    std::uint64_t leftOut_ = 0;
+};
+
+} // namespace magnolia::forward
+
+#endif
--- /dev/null
+++ b/libs/http/include/http/connection.h
@@ -0,0 +1,108 @@
+#ifndef MAGNOLIA_HTTP_CONNECTION_H
+#define MAGNOLIA_HTTP_CONNECTION_H
+
+#include "http/eventhandles.h"
+#include "http/socketaddress.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace magnolia::http
+{
+
+/** How a connection ended. */
+enum class ConnectionEnd : std::uint8_t {
+    Closed, ///< The far end closed it in order; all that it sent has arrived.
+    Reset, ///< It was cut; what arrived may not be all.
+    Refused, ///< It never came to be: not a byte was sent.
+};
+
+/**
+ * One TCP connection on an event loop, with its output queued while the far end does not read.
+ *
+ * Bytes are written at once where the socket takes them, without a pass through the loop: a streamed event costs one read
+ * and one write. Owned by shared_ptr; close() ends all callbacks, and may be called from within one. All on the loop's
+ * thread.
+ *
+ * @code
+ * auto connection = Connection::dial(loop, address, {.onData = [](std::string_view bytes) { ... }, .onEnd = ...});
+ * connection->send("GET / HTTP/1.1\r\n\r\n");
+ * @endcode
+ */
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    struct Callbacks {
+        std::function<void()> onConnected{}; ///< Of a dialled one.
+        std::function<void(std::string_view bytes)> onData{};
+        std::function<void(ConnectionEnd)> onEnd{}; ///< At most once; the connection is closed by then.
+        std::function<void()> onDrained{}; ///< The queued output has left.
+    };
+
+    /** Takes over a connected socket. */
+    static std::shared_ptr<Connection> adopt(event_base *loop, int fd);
+
+    /** @return null if no socket could be had. What is sent before it is connected is queued. */
+    static std::shared_ptr<Connection> dial(event_base *loop, const SocketAddress &address);
+
+    ~Connection();
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    void setCallbacks(Callbacks callbacks);
+    void send(std::string_view bytes);
+
+    /** Closes once all queued output has left. */
+    void closeWhenSent();
+    void close();
+
+    /** Stops or resumes reading; the far end is then held back by flow control. */
+    void setReading(bool enabled);
+
+    bool isOpen() const
+    {
+        return fd_ >= 0;
+    }
+    bool isConnected() const
+    {
+        return isConnected_;
+    }
+    bool hasSent() const ///< A byte has left this process.
+    {
+        return hasSent_;
+    }
+    std::size_t pendingBytes() const
+    {
+        return output_.size() - outputBegin_;
+    }
+
+private:
+    Connection(event_base *loop, int fd, bool isConnected);
+
+    void readable();
+    void writable();
+    bool flush();
+    void fail(ConnectionEnd end);
+    void updateWriteEvent();
+
+    event_base *loop_;
+    int fd_;
+    bool isConnected_;
+    bool hasSent_ = false;
+    bool closesWhenSent_ = false;
+    bool isReading_ = true;
+    bool isWriteEventOn_ = false;
+    Callbacks callbacks_;
+    std::string output_;
+    std::size_t outputBegin_ = 0; ///< What stands before it has left.
+    EventPtr readEvent_;
+    EventPtr writeEvent_;
+};
+
+} // namespace magnolia::http
+
+#endif
--- /dev/null
+++ b/libs/http/src/connection.cpp
@@ -0,0 +1,218 @@
+#include "http/connection.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace magnolia::http
+{
+
+namespace
+{
+
+constexpr std::size_t ReadBytes = 32U << 10U; ///< For one read; a burst of streamed events fits in it.
+
+} // namespace
+
+Connection::Connection(event_base *loop, int fd, bool isConnected) : loop_(loop), fd_(fd), isConnected_(isConnected)
+{
+    const auto onReadable = [](evutil_socket_t, short, void *self) { static_cast<Connection *>(self)->readable(); };
+    const auto onWritable = [](evutil_socket_t, short, void *self) { static_cast<Connection *>(self)->writable(); };
+    readEvent_.reset(event_new(loop, fd, EV_READ | EV_PERSIST, onReadable, this));
+    writeEvent_.reset(event_new(loop, fd, EV_WRITE | EV_PERSIST, onWritable, this));
+    if (isConnected_) {
+        event_add(readEvent_.get(), nullptr);
+    } else {
+        event_add(writeEvent_.get(), nullptr);
+        isWriteEventOn_ = true;
+    }
+}
+
+Connection::~Connection()
+{
+    close();
+}
+
+std::shared_ptr<Connection> Connection::adopt(event_base *loop, int fd)
+{
+    return std::shared_ptr<Connection>(new Connection(loop, fd, true));
+}
+
+std::shared_ptr<Connection> Connection::dial(event_base *loop, const SocketAddress &address)
+{
+    const int fd = openSocket(address.storage.ss_family);
+    if (fd < 0) {
+        return nullptr;
+    }
+    const int outcome = ::connect(fd, address.get(), address.length);
+    if (outcome != 0 && errno != EINPROGRESS) {
+        ::close(fd);
+        return nullptr;
+    }
+    return std::shared_ptr<Connection>(new Connection(loop, fd, outcome == 0));
+}
+
+void Connection::setCallbacks(Callbacks callbacks)
+{
+    callbacks_ = std::move(callbacks);
+}
+
+void Connection::send(std::string_view bytes)
+{
+    if (fd_ < 0) {
+        return;
+    }
+    output_.append(bytes);
+    if (isConnected_ && !isWriteEventOn_) {
+        if (!flush()) {
+            // Told by the loop: the callback must not come from within a call of its owner.
+            event_active(readEvent_.get(), EV_READ, 0);
+            return;
+        }
+        updateWriteEvent();
+    }
+}
+
+void Connection::closeWhenSent()
+{
+    if (fd_ < 0) {
+        return;
+    }
+    if (pendingBytes() == 0) {
+        close();
+        return;
+    }
+    closesWhenSent_ = true;
+}
+
+void Connection::close()
+{
+    if (fd_ < 0) {
+        return;
+    }
+    readEvent_.reset();
+    writeEvent_.reset();
+    ::close(std::exchange(fd_, -1));
+}
+
+void Connection::setReading(bool enabled)
+{
+    if (fd_ < 0 || isReading_ == enabled) {
+        return;
+    }
+    isReading_ = enabled;
+    if (!isConnected_) {
+        return;
+    }
+    if (enabled) {
+        event_add(readEvent_.get(), nullptr);
+    } else {
+        event_del(readEvent_.get());
+    }
+}
+
+void Connection::readable()
+{
+    const auto self = shared_from_this();
+    static thread_local std::array<char, ReadBytes> buffer;
+    bool mayHaveMore = true;
+    while (mayHaveMore && fd_ >= 0 && isReading_) {
+        const ssize_t count = recv(fd_, buffer.data(), buffer.size(), 0);
+        if (count == 0) {
+            fail(ConnectionEnd::Closed);
+            return;
+        }
+        if (count < 0) {
+            if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+                fail(ConnectionEnd::Reset);
+            }
+            return;
+        }
+        mayHaveMore = static_cast<std::size_t>(count) == buffer.size();
+        if (callbacks_.onData) {
+            callbacks_.onData({buffer.data(), static_cast<std::size_t>(count)});
+        }
+    }
+}
+
+void Connection::writable()
+{
+    const auto self = shared_from_this();
+    if (!isConnected_) {
+        int error = 0;
+        socklen_t length = sizeof(error);
+        getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &length);
+        if (error != 0) {
+            fail(ConnectionEnd::Refused);
+            return;
+        }
+        isConnected_ = true;
+        if (isReading_) {
+            event_add(readEvent_.get(), nullptr);
+        }
+        if (callbacks_.onConnected) {
+            callbacks_.onConnected();
+        }
+        if (fd_ < 0) {
+            return;
+        }
+    }
+    if (!flush()) {
+        fail(ConnectionEnd::Reset);
+        return;
+    }
+    updateWriteEvent();
+    if (pendingBytes() > 0) {
+        return;
+    }
+    if (closesWhenSent_) {
+        close();
+        return;
+    }
+    if (callbacks_.onDrained) {
+        callbacks_.onDrained();
+    }
+}
+
+/** @return false if the connection is broken. */
+bool Connection::flush()
+{
+    while (pendingBytes() > 0) {
+        const ssize_t count = ::send(fd_, output_.data() + outputBegin_, pendingBytes(), MSG_NOSIGNAL);
+        if (count < 0) {
+            return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+        }
+        hasSent_ = true;
+        outputBegin_ += static_cast<std::size_t>(count);
+    }
+    output_.clear();
+    outputBegin_ = 0;
+    return true;
+}
+
+void Connection::fail(ConnectionEnd end)
+{
+    close();
+    if (callbacks_.onEnd) {
+        callbacks_.onEnd(end);
+    }
+}
+
+void Connection::updateWriteEvent()
+{
+    const bool isWanted = pendingBytes() > 0;
+    if (isWanted == isWriteEventOn_) {
+        return;
+    }
+    isWriteEventOn_ = isWanted;
+    if (isWanted) {
+        event_add(writeEvent_.get(), nullptr);
+    } else {
+        event_del(writeEvent_.get());
+    }
+}
+
+} // namespace magnolia::http
--- a/libs/http/src/httpclient.cpp
+++ b/libs/http/src/httpclient.cpp
@@ -300,6 +300,10 @@
         failCall(call, ErrorCode::BadInput, "a header can't be sent");
         return;
     }
+    if (!call.request.headers.contains("host")) {
+        // evhttp adds none, and servers that go by RFC 9112 answer a request without it 400.
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Host", options_.address.c_str());
+    }
     if (!call.request.body.empty()) {
         // evhttp gives only POST and PUT a length; the body of a PATCH would pass for the start of the next request.
         evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Length", std::to_string(call.request.body.size()).c_str());
--- /dev/null
+++ b/libs/http/src/messageparser.cpp
@@ -0,0 +1,237 @@
+#include "http/messageparser.h"
+
+#include <http_parser.h>
+
+#include <utility>
+
+namespace magnolia::http
+{
+
+namespace
+{
+
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned StatusNoContent = 204;
+constexpr unsigned StatusNotModified = 304;
+
+/** Whether an answer says itself where it ends. */
+bool isFramed(const http_parser &parser)
+{
+    const bool hasNoBody = parser.status_code < FirstFinalStatus || parser.status_code == StatusNoContent || parser.status_code == StatusNotModified;
+    const unsigned framing = F_CHUNKED | F_CONTENTLENGTH;
+    return hasNoBody || (parser.flags & framing) != 0;
+}
+
+} // namespace
+
+class MessageParser::Impl
+{
+public:
+    explicit Impl(Kind kind) : kind_(kind)
+    {
+        reset();
+    }
+
+    std::size_t feed(std::string_view bytes, const OnBody &onBody);
+    bool finish();
+    void reset();
+
+    MessageHead head_;
+    bool expectsNoBody_ = false;
+    bool hasBegun_ = false;
+    bool hasHead_ = false;
+    bool isComplete_ = false;
+    bool isBroken_ = false;
+    std::size_t headBytes_ = 0;
+
+private:
+    static Impl &of(http_parser *parser)
+    {
+        return *static_cast<Impl *>(parser->data);
+    }
+    static int onUrl(http_parser *parser, const char *at, std::size_t length);
+    static int onHeaderName(http_parser *parser, const char *at, std::size_t length);
+    static int onHeaderValue(http_parser *parser, const char *at, std::size_t length);
+    static int onHeadersComplete(http_parser *parser);
+    static int onBody(http_parser *parser, const char *at, std::size_t length);
+    static int onMessageComplete(http_parser *parser);
+    static const http_parser_settings &callbacks();
+
+    Kind kind_;
+    http_parser parser_{};
+    const OnBody *onBody_ = nullptr;
+    bool isInValue_ = true; ///< The next bytes of a name begin a new field.
+};
+
+const http_parser_settings &MessageParser::Impl::callbacks()
+{
+    static const http_parser_settings table = [] {
+        http_parser_settings filled{};
+        http_parser_settings_init(&filled);
+        filled.on_url = &Impl::onUrl;
+        filled.on_header_field = &Impl::onHeaderName;
+        filled.on_header_value = &Impl::onHeaderValue;
+        filled.on_headers_complete = &Impl::onHeadersComplete;
+        filled.on_body = &Impl::onBody;
+        filled.on_message_complete = &Impl::onMessageComplete;
+        return filled;
+    }();
+    return table;
+}
+
+int MessageParser::Impl::onUrl(http_parser *parser, const char *at, std::size_t length)
+{
+    of(parser).head_.target.append(at, length);
+    return 0;
+}
+
+int MessageParser::Impl::onHeaderName(http_parser *parser, const char *at, std::size_t length)
+{
+    Impl &self = of(parser);
+    if (self.hasHead_) {
+        return 0; // A trailer: it concerns this hop only.
+    }
+    if (std::exchange(self.isInValue_, false)) {
+        self.head_.headers.add({}, {});
+    }
+    self.head_.headers.fields().back().name.append(at, length);
+    return 0;
+}
+
+int MessageParser::Impl::onHeaderValue(http_parser *parser, const char *at, std::size_t length)
+{
+    Impl &self = of(parser);
+    if (self.hasHead_) {
+        return 0;
+    }
+    self.isInValue_ = true;
+    self.head_.headers.fields().back().value.append(at, length);
+    return 0;
+}
+
+int MessageParser::Impl::onHeadersComplete(http_parser *parser)
+{
+    Impl &self = of(parser);
+    self.hasHead_ = true;
+    self.head_.status = parser->status_code;
+    if (self.kind_ == Kind::Request) {
+        self.head_.method = http_method_str(static_cast<http_method>(parser->method));
+    } else {
+        self.head_.endsWithConnection = !self.expectsNoBody_ && !isFramed(*parser);
+    }
+    self.head_.keepAlive = http_should_keep_alive(parser) != 0;
+    constexpr int SkipBody = 1;
+    return self.expectsNoBody_ ? SkipBody : 0;
+}
+
+int MessageParser::Impl::onBody(http_parser *parser, const char *at, std::size_t length)
+{
+    (*of(parser).onBody_)({at, length});
+    return 0;
+}
+
+int MessageParser::Impl::onMessageComplete(http_parser *parser)
+{
+    of(parser).isComplete_ = true;
+    http_parser_pause(parser, 1); // Whatever follows is for whoever uses the connection to judge.
+    return 0;
+}
+
+std::size_t MessageParser::Impl::feed(std::string_view bytes, const OnBody &onBody)
+{
+    if (isBroken_ || isComplete_ || bytes.empty()) {
+        return 0;
+    }
+    hasBegun_ = true;
+    onBody_ = &onBody;
+    const bool wasInHead = !hasHead_;
+    const std::size_t taken = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+    const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+    isBroken_ = error != HPE_OK && error != HPE_PAUSED;
+    if (wasInHead) {
+        headBytes_ += taken;
+    }
+    return taken;
+}
+
+bool MessageParser::Impl::finish()
+{
+    if (isComplete_) {
+        return true;
+    }
+    if (isBroken_ || !hasHead_ || !head_.endsWithConnection) {
+        return false;
+    }
+    http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+    return isComplete_;
+}
+
+void MessageParser::Impl::reset()
+{
+    http_parser_init(&parser_, kind_ == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_.data = this;
+    head_ = {};
+    expectsNoBody_ = false;
+    hasBegun_ = false;
+    hasHead_ = false;
+    isComplete_ = false;
+    isBroken_ = false;
+    headBytes_ = 0;
+    isInValue_ = true;
+}
+
+MessageParser::MessageParser(Kind kind) : impl_(std::make_unique<Impl>(kind)) {}
+
+MessageParser::~MessageParser() = default;
+
+std::size_t MessageParser::feed(std::string_view bytes, const OnBody &onBody)
+{
+    return impl_->feed(bytes, onBody);
+}
+
+bool MessageParser::finish()
+{
+    return impl_->finish();
+}
+
+void MessageParser::expectNoBody()
+{
+    impl_->expectsNoBody_ = true;
+}
+
+bool MessageParser::hasBegun() const
+{
+    return impl_->hasBegun_;
+}
+
+bool MessageParser::hasHead() const
+{
+    return impl_->hasHead_;
+}
+
+bool MessageParser::isComplete() const
+{
+    return impl_->isComplete_;
+}
+
+bool MessageParser::isBroken() const
+{
+    return impl_->isBroken_;
+}
+
+std::size_t MessageParser::headBytes() const
+{
+    return impl_->headBytes_;
+}
+
+MessageHead &MessageParser::head()
+{
+    return impl_->head_;
+}
+
+void MessageParser::reset()
+{
+    impl_->reset();
+}
+
+} // namespace magnolia::http
--- /dev/null
+++ b/libs/routing/include/routing/endpointtable.h
@@ -0,0 +1,122 @@
+#ifndef MAGNOLIA_ROUTING_ENDPOINTTABLE_H
+#define MAGNOLIA_ROUTING_ENDPOINTTABLE_H
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "routing/routetable.h"
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnolia::routing
+{
+
+/** What the platform's list says of an endpoint. */
+struct EndpointRecord {
+    std::string id; ///< Of this run of the endpoint; an address may be used again by another.
+    std::string service;
+    std::string address; ///< "IP:PORT"
+    std::string dataCentre;
+    std::uint32_t slots = 1; ///< Requests that it runs at once.
+    bool isLeaving = false;
+};
+
+/** What an endpoint says of its load. */
+struct LoadReport {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/** An endpoint as this entry knows it. */
+struct Endpoint {
+    EndpointRecord record;
+    bool isGone = false; ///< It left the list; whoever still holds it sends it nothing new.
+    std::uint32_t inFlight = 0; ///< Sent by this entry and not ended.
+    double promptTokens = 0; ///< Sent by this entry and not answered yet.
+    LoadReport load;
+    std::uint32_t ownAtReport = 0; ///< inFlight when that report came.
+    BootTime reportedAt;
+    std::uint32_t failures = 0; ///< In a row.
+    BootTime avoidUntil; ///< Taken before that only if there is no other.
+
+    bool takesWork() const
+    {
+        return !record.isLeaving && !isGone;
+    }
+};
+
+using EndpointPointer = std::shared_ptr<Endpoint>;
+
+/** How an attempt at an endpoint ended, as far as it tells of the endpoint. */
+enum class EndpointSign : std::uint8_t {
+    Answered, ///< It does what it should.
+    Refused, ///< Without having run it: it is full, or of a broken group. No sign of sickness.
+    Failed, ///< An error of its own, a cut or spoilt answer, silence.
+    Unreachable, ///< No connection came to be.
+};
+
+/**
+ * The endpoints that this entry knows, and the choice among them.
+ *
+ * Chooses the one with the least expected load for each slot: the entry's own requests there, which are exact, plus what
+ * others had there by its latest report, which counts less as it ages. An endpoint that failed is avoided for a time that
+ * grows with each failure in a row, and is then tried by one request after the other; nothing is asked of it besides, as
+ * health checks cost its slots. Lives as long as its entry's task. Not thread-safe.
+ *
+ * @code
+ * table.put(record);
+ * if (EndpointPointer endpoint = table.choose({.service = "orders"}, now, random)) { ... }
+ * @endcode
+ */
+class EndpointTable
+{
+public:
+    struct Options {
+        std::string dataCentre{}; ///< This entry's; a nearer endpoint is taken among equals.
+    };
+
+    struct ChoiceRequest {
+        std::string_view service;
+        std::span<const std::string> tried{}; ///< Ids not to be taken again.
+    };
+
+    explicit EndpointTable(Options options);
+
+    /** Adds an endpoint or replaces what is known of it. */
+    void put(const EndpointRecord &record);
+    void remove(std::string_view id);
+
+    /** @return null if no endpoint of the service takes work, or all have been tried. */
+    EndpointPointer choose(const ChoiceRequest &request, BootTime now, Random &random) const;
+
+    EndpointPointer find(std::string_view id) const;
+
+    /** All endpoints of a service that are known, in no order. */
+    std::span<const EndpointPointer> ofService(std::string_view service) const;
+    std::size_t size() const
+    {
+        return byId_.size();
+    }
+
+    static void reported(Endpoint &endpoint, const LoadReport &load, BootTime now);
+    static void signSeen(Endpoint &endpoint, EndpointSign sign, BootTime now);
+
+    /** @return requests expected there now. */
+    static double expectedLoad(const Endpoint &endpoint, BootTime now);
+
+private:
+    double cost(const Endpoint &endpoint, BootTime now) const;
+
+    Options options_;
+    TextMap<EndpointPointer> byId_;
+    TextMap<std::vector<EndpointPointer>> byService_;
+};
+
+} // namespace magnolia::routing
+
+#endif
--- /dev/null
+++ b/libs/routing/src/endpointtable.cpp
@@ -0,0 +1,149 @@
+#include "routing/endpointtable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+#include <utility>
+
+namespace magnolia::routing
+{
+
+namespace
+{
+
+// Reports of running and waiting requests come with answers; after a second most of those requests are others.
+constexpr std::chrono::duration<double> ReportHalfLife{1.0};
+
+// Between data centres of a region a request takes about a millisecond more each way: it only decides between equals.
+constexpr double OtherDataCentreCost = 0.02;
+
+// A single failure may be the request's own; the pause then doubles up to a length after which a replaced or healed
+// endpoint is found again soon enough to matter.
+constexpr Duration FirstPause{250};
+constexpr Duration LongestPause{4000};
+
+// What can't be connected to is dead, or unreachable from here, in all likelihood.
+constexpr Duration UnreachablePause{1000};
+
+// Sent as often as equals by the random part, so that entries with the same reports don't all choose the same endpoint.
+constexpr double RandomPart = 0.05;
+
+double seconds(BootClock::duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration pauseAfter(std::uint32_t failures)
+{
+    constexpr std::uint32_t MostDoublings = 4;
+    const std::uint32_t doublings = std::min(failures > 0 ? failures - 1 : 0, MostDoublings);
+    return std::min(FirstPause * (1U << doublings), LongestPause);
+}
+
+} // namespace
+
+EndpointTable::EndpointTable(Options options) : options_(std::move(options)) {}
+
+void EndpointTable::put(const EndpointRecord &record)
+{
+    const auto found = byId_.find(record.id);
+    if (found != byId_.end() && found->second->record.service == record.service) {
+        found->second->record = record;
+        return;
+    }
+    remove(record.id);
+    auto endpoint = std::make_shared<Endpoint>();
+    endpoint->record = record;
+    byId_.emplace(record.id, endpoint);
+    byService_[record.service].push_back(std::move(endpoint));
+}
+
+void EndpointTable::remove(std::string_view id)
+{
+    const auto found = byId_.find(id);
+    if (found == byId_.end()) {
+        return;
+    }
+    found->second->isGone = true;
+    std::erase(byService_[found->second->record.service], found->second);
+    byId_.erase(found);
+}
+
+EndpointPointer EndpointTable::find(std::string_view id) const
+{
+    const auto found = byId_.find(id);
+    return found == byId_.end() ? nullptr : found->second;
+}
+
+std::span<const EndpointPointer> EndpointTable::ofService(std::string_view service) const
+{
+    const auto found = byService_.find(service);
+    return found == byService_.end() ? std::span<const EndpointPointer>() : std::span<const EndpointPointer>(found->second);
+}
+
+EndpointPointer EndpointTable::choose(const ChoiceRequest &request, BootTime now, Random &random) const
+{
+    std::uniform_real_distribution<double> drawn(0, RandomPart);
+    EndpointPointer best;
+    double bestCost = 0;
+    bool isBestAvoided = true;
+    for (const EndpointPointer &endpoint : ofService(request.service)) {
+        const bool isTried = std::find(request.tried.begin(), request.tried.end(), endpoint->record.id) != request.tried.end();
+        if (isTried || !endpoint->takesWork()) {
+            continue;
+        }
+        const bool isAvoided = now < endpoint->avoidUntil;
+        const double itsCost = cost(*endpoint, now) + drawn(random);
+        const bool isBetter = best == nullptr || (isBestAvoided && !isAvoided) || (isBestAvoided == isAvoided && itsCost < bestCost);
+        if (isBetter) {
+            best = endpoint;
+            bestCost = itsCost;
+            isBestAvoided = isAvoided;
+        }
+    }
+    return best;
+}
+
+void EndpointTable::reported(Endpoint &endpoint, const LoadReport &load, BootTime now)
+{
+    endpoint.load = load;
+    endpoint.ownAtReport = endpoint.inFlight;
+    endpoint.reportedAt = now;
+}
+
+void EndpointTable::signSeen(Endpoint &endpoint, EndpointSign sign, BootTime now)
+{
+    switch (sign) {
+    case EndpointSign::Answered:
+        endpoint.failures = 0;
+        endpoint.avoidUntil = {};
+        break;
+    case EndpointSign::Refused:
+        break;
+    case EndpointSign::Failed:
+        ++endpoint.failures;
+        endpoint.avoidUntil = now + pauseAfter(endpoint.failures);
+        break;
+    case EndpointSign::Unreachable:
+        ++endpoint.failures;
+        endpoint.avoidUntil = now + std::max(UnreachablePause, pauseAfter(endpoint.failures));
+        break;
+    }
+}
+
+double EndpointTable::expectedLoad(const Endpoint &endpoint, BootTime now)
+{
+    const double reported = endpoint.load.running + endpoint.load.waiting;
+    const double others = std::max(0.0, reported - endpoint.ownAtReport);
+    const double trust = std::exp2(-seconds(now - endpoint.reportedAt) / ReportHalfLife.count());
+    return endpoint.inFlight + others * trust;
+}
+
+double EndpointTable::cost(const Endpoint &endpoint, BootTime now) const
+{
+    const double slots = std::max<std::uint32_t>(endpoint.record.slots, 1);
+    const bool isNear = endpoint.record.dataCentre == options_.dataCentre;
+    return expectedLoad(endpoint, now) / slots + (isNear ? 0 : OtherDataCentreCost);
+}
+
+} // namespace magnolia::routing
--- /dev/null
+++ b/libs/routing/src/routetable.cpp
@@ -0,0 +1,84 @@
+#include "routing/routetable.h"
+
+#include <utility>
+
+namespace magnolia::routing
+{
+
+namespace
+{
+
+std::string_view withoutPort(std::string_view host)
+{
+    const bool isBracketed = host.starts_with('[');
+    const std::size_t colon = isBracketed ? host.find("]:") : host.find(':');
+    if (colon == std::string_view::npos) {
+        return host;
+    }
+    return host.substr(0, isBracketed ? colon + 1 : colon);
+}
+
+} // namespace
+
+RouteTable::RouteTable(RoutingConfig config) : config_(std::move(config))
+{
+    for (const Route &route : config_.routes) {
+        hosts_[route.host].emplace(route.pathPrefix, &route);
+    }
+    for (const Organisation &organisation : config_.organisations) {
+        for (const std::string &key : organisation.keys) {
+            keys_.emplace(key, &organisation);
+        }
+    }
+    for (const Service &service : config_.services) {
+        services_.emplace(service.name, &service);
+    }
+}
+
+const Route *RouteTable::match(std::string_view host, std::string_view path) const
+{
+    const auto routes = hosts_.find(withoutPort(host));
+    if (routes == hosts_.end()) {
+        return nullptr;
+    }
+    // Prefixes end with a slash, so only the path's own slashes can end one; the last is tried first.
+    std::size_t slash = path.rfind('/');
+    while (slash != std::string_view::npos) {
+        const auto found = routes->second.find(path.substr(0, slash + 1));
+        if (found != routes->second.end()) {
+            return found->second;
+        }
+        slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+const Organisation *RouteTable::organisationOf(std::string_view key) const
+{
+    const auto found = keys_.find(key);
+    return found == keys_.end() ? nullptr : found->second;
+}
+
+const Service *RouteTable::service(std::string_view name) const
+{
+    const auto found = services_.find(name);
+    return found == services_.end() ? nullptr : found->second;
+}
+
+const RouteTarget &pickTarget(const Route &route, double point)
+{
+    double total = 0;
+    for (const RouteTarget &target : route.targets) {
+        total += target.weight;
+    }
+    double left = point * total;
+    for (const RouteTarget &target : route.targets) {
+        left -= target.weight;
+        if (left < 0) {
+            return target;
+        }
+    }
+    return route.targets.back();
+}
+
+} // namespace magnolia::routing
--- a/libs/settings/include/settings/sections.h
+++ b/libs/settings/include/settings/sections.h
@@ -85,6 +85,39 @@
     Duration timeout{2000}; ///< For one call to one daemon.
 };
 
+/** [readiness]: where the platform's balancer asks whether this instance takes callers. */
+struct ReadinessSettings {
+    std::string address; ///< "IP:PORT"
+};
+
+/** [store]: the platform's store that holds routes and the list of endpoints. */
+struct StoreSettings {
+    std::string address; ///< "IP:PORT"
+};
+
+/** [keys]: how long a caller's key is trusted. */
+struct KeysSettings {
+    Duration revocationBound{5000}; ///< Within which a key that was taken away is refused everywhere.
+    bool failClosed = true; ///< Refuse keys if it can't be proved that they are still valid.
+};
+
+/** [retries]: the budget that all instances share. */
+struct RetriesSettings {
+    double share = 0.2; ///< Sendings beyond the first of each request, for each request of a service.
+    double constant = 0; ///< Such sendings in a window besides.
+    Duration window{10000};
+};
+
+/** [metrics]: where they are served. */
+struct MetricsSettings {
+    std::string address; ///< "IP:PORT"; empty: nowhere.
+};
+
+/** [grace]: from the order to stop to the end of the process. */
+struct GraceSettings {
+    Duration time{8000};
+};
+
 } // namespace magnolia::settings
 
 #endif
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -38,6 +38,19 @@
     StopSettings stop;
 };
 
+/** Settings of an entry that passes requests on by the operators' routes. */
+struct ForwardSettings {
+    InstanceSettings instance;
+    CallersSettings callers;
+    ReadinessSettings readiness;
+    StoreSettings store;
+    KeysSettings keys;
+    RetriesSettings retries;
+    MetricsSettings metrics;
+    GraceSettings grace;
+    observe::LogOptions log;
+};
+
 /** Settings of magnoliactl. */
 struct CtlSettings {
     DaemonsSettings operators;
@@ -61,7 +74,7 @@
 using Checked = tl::expected<S, std::vector<Problem>>;
 
 /**
- * Reads and checks a settings file; S is EntrySettings, AgentSettings or CtlSettings.
+ * Reads and checks a settings file; S is EntrySettings, AgentSettings, ForwardSettings or CtlSettings.
  *
  * @code
  * const auto settings = settings::load<EntrySettings>(path);
--- a/libs/settings/src/reader.cpp
+++ b/libs/settings/src/reader.cpp
@@ -167,6 +167,11 @@
 }
 
 void TableReader::readRatio(std::string_view key, double &out)
+{
+    readNumber(key, out, {.least = 0, .most = 1});
+}
+
+void TableReader::readNumber(std::string_view key, double &out, Range<double> range)
 {
     const toml::node *node = find(key, Presence::Optional);
     if (node == nullptr) {
@@ -174,8 +179,22 @@
     }
     const auto value = node->is_number() ? node->value<double>() : std::nullopt;
     // Written so that NaN, which TOML allows, fails too.
-    if (!value || !(*value >= 0 && *value <= 1)) {
-        reportWrong(*node, key, "a number from 0 to 1");
+    if (!value || !(*value >= range.least && *value <= range.most)) {
+        reportWrong(*node, key, fmt::format("a number from {} to {}", range.least, range.most));
+        return;
+    }
+    out = *value;
+}
+
+void TableReader::readFlag(std::string_view key, bool &out)
+{
+    const toml::node *node = find(key, Presence::Optional);
+    if (node == nullptr) {
+        return;
+    }
+    const auto value = node->value_exact<bool>();
+    if (!value) {
+        reportWrong(*node, key, "true or false");
         return;
     }
     out = *value;
--- a/libs/settings/src/reader.h
+++ b/libs/settings/src/reader.h
@@ -69,6 +69,8 @@
     void readDuration(std::string_view key, Duration &out, Range<std::int64_t> milliseconds);
     void readSize(std::string_view key, std::size_t &out, Range<std::int64_t> range);
     void readRatio(std::string_view key, double &out);
+    void readNumber(std::string_view key, double &out, Range<double> range);
+    void readFlag(std::string_view key, bool &out);
 
     template<typename T>
     void readChoice(std::string_view key, T &out, const std::map<std::string, T> &choices)
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -132,6 +132,43 @@
     reader.readDuration("silence_timeout_ms", out.silenceTimeout, {.least = 100, .most = 10 * Minute});
 }
 
+void readSection(TableReader &reader, ReadinessSettings &out)
+{
+    reader.readAddress("address", out.address, AddressUse::Listen, Presence::Required);
+}
+
+void readSection(TableReader &reader, StoreSettings &out)
+{
+    reader.readAddress("address", out.address, AddressUse::Connect, Presence::Required);
+}
+
+void readSection(TableReader &reader, KeysSettings &out)
+{
+    reader.readDuration("revocation_bound_ms", out.revocationBound, {.least = 500, .most = Hour});
+    reader.readFlag("fail_closed", out.failClosed);
+}
+
+void readSection(TableReader &reader, RetriesSettings &out)
+{
+    reader.readNumber("share", out.share, {.least = 0, .most = 10});
+    reader.readNumber("constant", out.constant, {.least = 0, .most = 1'000'000});
+    double windowSeconds = std::chrono::duration<double>(out.window).count();
+    reader.readNumber("window_s", windowSeconds, {.least = 0.1, .most = 3600});
+    out.window = std::chrono::round<Duration>(std::chrono::duration<double>(windowSeconds));
+}
+
+void readSection(TableReader &reader, MetricsSettings &out)
+{
+    reader.readAddress("address", out.address, AddressUse::Listen, Presence::Optional);
+}
+
+void readSection(TableReader &reader, GraceSettings &out)
+{
+    double seconds = std::chrono::duration<double>(out.time).count();
+    reader.readNumber("time_s", seconds, {.least = 0.5, .most = 3600});
+    out.time = std::chrono::round<Duration>(std::chrono::duration<double>(seconds));
+}
+
 /** Reads the file's sections, and reports those that it should not have. */
 class FileReader
 {
@@ -192,6 +229,19 @@
     file.section("stop", out.stop);
 }
 
+void readFile(FileReader &file, ForwardSettings &out)
+{
+    file.section("instance", out.instance);
+    file.section("callers", out.callers);
+    file.section("readiness", out.readiness);
+    file.section("store", out.store);
+    file.section("keys", out.keys);
+    file.section("retries", out.retries);
+    file.section("metrics", out.metrics);
+    file.section("grace", out.grace);
+    file.section("log", out.log);
+}
+
 void readFile(FileReader &file, CtlSettings &out)
 {
     file.section("operators", out.operators);
@@ -264,6 +314,8 @@
 template Checked<EntrySettings> parse(std::string_view, std::string_view);
 template Checked<AgentSettings> parse(std::string_view, std::string_view);
 template Checked<CtlSettings> parse(std::string_view, std::string_view);
+template Checked<ForwardSettings> parse(std::string_view, std::string_view);
+template Checked<ForwardSettings> load(const std::string &);
 template Checked<EntrySettings> load(const std::string &);
 template Checked<AgentSettings> load(const std::string &);
 template Checked<CtlSettings> load(const std::string &);
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -5,7 +5,7 @@
 packages=(
     g++ ccache cmake ninja-build pkg-config curl clang-format clang-tidy
     libboost-dev libboost-test-dev libboost-system-dev libboost-filesystem-dev
-    libevent-dev libwebsocketpp-dev libssl-dev
+    libevent-dev libhttp-parser-dev libwebsocketpp-dev libssl-dev
     libtomlplusplus-dev nlohmann-json3-dev libexpected-dev
     libspdlog-dev libfmt-dev prometheus-cpp-dev
     libxxhash-dev libpcg-cpp-dev
