Agents change the experts' map as demand moves, without a pass on two maps

Cause: passes took three times as long once other experts were asked for (most loaded rank 11.1 of 3 in even spread), and nearly all streams came late. Ruled out: arming far ahead without a hold, since a lost order could then split the group; orders from the entries, since each read of counts from afar is priced and pauses the group.

--- /dev/null
+++ b/libs/group/include/group/grouptask.h
@@ -0,0 +1,55 @@
+#ifndef MAGNOLIA_GROUP_GROUPTASK_H
+#define MAGNOLIA_GROUP_GROUPTASK_H
+
+#include "base/clock.h"
+#include "base/failure.h"
+#include "group/engineport.h"
+#include "observe/metrics.h"
+#include "wire/link.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+struct event_base;
+
+namespace magnolia::group
+{
+
+struct GroupOptions {
+    std::string instance{}; ///< Name of this agent; unique.
+    std::string listenAddress{}; ///< "IP:PORT" for the coordinator's link.
+    wire::LinkOptions links{};
+    Duration poll{150}; ///< Between two looks at the engine; free from its own instance.
+    Duration patience{1500}; ///< Without a coordinator's word for so long another takes its place.
+    Duration demandHalfLife{700}; ///< Age at which a choice of an expert counts half.
+    Duration planInterval{300}; ///< Between two looks for a better map.
+    std::size_t placesPerRank = 0; ///< In each set; 0: read by the store's layout.
+    std::size_t mostNewPerSet = 4;
+    std::size_t mostNewPerRank = 2;
+    double leastGain = 0.06;
+};
+
+/**
+ * An agent's part in its engine's group: it looks at its engine, tells the coordinator, and carries out its commands; one
+ * agent of the group is the coordinator, and changes the expert map as demand moves.
+ *
+ * Who coordinates stands in a row of the store, which is written only when a coordinator has fallen silent; the row's
+ * version is the term that commands carry. Lives on one event loop, all calls on its thread; the ports outlive it.
+ *
+ * @code
+ * auto task = GroupTask::start(loop, options, engine, store, metrics);
+ * @endcode
+ */
+class GroupTask
+{
+public:
+    virtual ~GroupTask() = default;
+
+    static Result<std::unique_ptr<GroupTask>>
+    start(event_base *loop, GroupOptions options, EnginePort &engine, GroupStore &store, observe::Metrics &metrics);
+};
+
+} // namespace magnolia::group
+
+#endif
--- /dev/null
+++ b/libs/group/include/group/mapswitch.h
@@ -0,0 +1,148 @@
+#ifndef MAGNOLIA_GROUP_MAPSWITCH_H
+#define MAGNOLIA_GROUP_MAPSWITCH_H
+
+#include "base/clock.h"
+#include "group/rankstate.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace magnolia::group
+{
+
+/** An order for one rank of the group. */
+struct AddressedOrder {
+    std::uint32_t rank = 0;
+    RankOrder order;
+};
+
+/**
+ * Brings a group from one expert map to the next so that no pass runs on two.
+ *
+ * Engines don't compare maps, an order without an answer may be carried out seconds later, and a hold never expires. So
+ * nothing is believed but what ranks report, in this order:
+ *
+ * 1. Prepare the map on every rank, until all report it.
+ * 2. Hold a pass S somewhat ahead at one rank, until it reports the hold. From now on S can't begin.
+ * 3. Arm every rank for S, until all report it. Then release S: all use the new map from S on.
+ * 4. If some rank can't be armed in time: disarm all, and prepare the map in use under a newer version on all. A rank that
+ *    reports that is not armed, and a late order to arm the older version finds nothing to arm. Only then release S.
+ *
+ * Late orders do no harm: to prepare, since versions are never used twice (term and count); to arm or hold, since they are
+ * refused once the pass has begun. A hold that nobody waits for is released as soon as no rank is armed or can become so.
+ * A successor takes up whatever the ranks report: it finishes step 3 or 4. A new epoch ends everything: the group forms
+ * with map 0 and nothing prepared, armed or held.
+ *
+ * Pure: states and time come in, orders come out. Not thread-safe.
+ *
+ * @code
+ * MapSwitch change({.term = term});
+ * change.reported(state, now);
+ * if (change.isIdle()) { change.begin(map, now); }
+ * for (const AddressedOrder &order : change.due(now)) { send(order); }
+ * @endcode
+ */
+class MapSwitch
+{
+public:
+    struct Options {
+        std::uint64_t term = 0; ///< Of this coordinator; no two have the same.
+        std::uint64_t stepsAhead = 4; ///< How far ahead of the last pass S is: time for holding and arming, so that nothing stalls.
+        Duration orderRetry{60}; ///< An order whose effect is not reported is given again; carried out twice it does no harm.
+        Duration prepareRetry{400}; ///< Copying takes a while and is not reported before its end.
+        Duration prepareLimit{6000}; ///< Then the map is given up: demand has moved on.
+        Duration armLimit{1200}; ///< Then the switch is undone: the group stands still meanwhile.
+    };
+
+    enum class Phase : std::uint8_t {
+        Unknown, ///< Not all ranks of the present epoch have reported.
+        Idle,
+        Preparing,
+        Holding,
+        Arming,
+        Releasing, ///< All are armed.
+        Undoing,
+        UndoReleasing,
+    };
+
+    explicit MapSwitch(Options options);
+
+    void reported(const RankState &state, BootTime now);
+
+    /** Begins a switch; only when idle. @param current experts in use, to fall back to. */
+    void begin(RankExperts map, RankExperts current, BootTime now);
+
+    /** @return orders to be given now. */
+    std::vector<AddressedOrder> due(BootTime now);
+
+    /** The map in use, in case a switch of a predecessor has to be undone. */
+    void setCurrent(RankExperts current)
+    {
+        current_ = std::move(current);
+    }
+
+    Phase phase() const
+    {
+        return phase_;
+    }
+    bool isIdle() const
+    {
+        return phase_ == Phase::Idle;
+    }
+    std::uint64_t epoch() const
+    {
+        return epoch_;
+    }
+    std::uint32_t size() const
+    {
+        return static_cast<std::uint32_t>(ranks_.size());
+    }
+    std::uint64_t version() const ///< Of the map that is being switched to, or was last.
+    {
+        return version_;
+    }
+    std::uint64_t lastStep() const; ///< Highest that any rank has begun.
+    const RankState *rank(std::uint32_t index) const;
+
+private:
+    struct Member {
+        std::optional<RankState> state;
+        BootTime orderedAt; ///< When it was last given an order.
+        std::optional<RankOrderKind> ordered;
+        std::uint64_t orderedVersion = 0;
+    };
+
+    void reset(const RankState &state);
+    void enter(Phase phase, BootTime now);
+    void advance(BootTime now);
+    void takeUp(BootTime now);
+    bool allReported() const;
+    template<typename Condition>
+    bool all(Condition condition) const;
+    std::optional<std::uint32_t> holder() const;
+    std::uint64_t nextVersion();
+    void give(std::vector<AddressedOrder> &orders, std::uint32_t rank, RankOrder order, BootTime now);
+
+    Options options_;
+    Phase phase_ = Phase::Unknown;
+    BootTime phaseSince_;
+    std::uint64_t epoch_ = 0;
+    std::vector<Member> ranks_;
+    std::uint64_t count_ = 0; ///< Versions made in this term.
+    std::uint64_t version_ = 0;
+    std::uint64_t undoVersion_ = 0;
+    std::uint64_t step_ = 0; ///< S
+    std::uint32_t holder_ = 0;
+    RankExperts map_;
+    RankExperts current_;
+};
+
+/** @return "unknown", "idle", "preparing", "holding", "arming", "releasing", "undoing" or "undo-releasing". */
+std::string_view toString(MapSwitch::Phase phase);
+
+} // namespace magnolia::group
+
+#endif
--- /dev/null
+++ b/libs/group/include/group/rankstate.h
@@ -0,0 +1,74 @@
+#ifndef MAGNOLIA_GROUP_RANKSTATE_H
+#define MAGNOLIA_GROUP_RANKSTATE_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/** Expert maps of a group of engines that run their passes together, changed without any pass on two maps. */
+namespace magnolia::group
+{
+
+/** A map that a rank will begin to use with a pass. */
+struct ArmedMap {
+    std::uint64_t version = 0;
+    std::uint64_t step = 0; ///< The first pass on it.
+
+    bool operator==(const ArmedMap &) const = default;
+};
+
+/** What an engine says of itself as a rank of its group. */
+struct RankState {
+    std::string group;
+    std::uint64_t epoch = 0; ///< Grows each time that the group forms anew.
+    std::uint32_t rank = 0;
+    std::uint32_t size = 0; ///< Ranks of the group.
+    bool isOpen = false; ///< The group runs passes.
+    std::uint64_t step = 0; ///< The last pass that was begun.
+    std::uint64_t map = 0; ///< Version in use; 0 is the one that a group forms with.
+    std::uint64_t prepared = 0; ///< Version that is there whole, to be armed; 0: none.
+    std::optional<ArmedMap> armed;
+    std::optional<std::uint64_t> held; ///< The pass that does not begin until it is let go.
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    double pace = 1; ///< Above 1 it is slow.
+
+    bool operator==(const RankState &) const = default;
+};
+
+/** Experts by set, then by rank. */
+using RankExperts = std::vector<std::vector<std::vector<std::uint16_t>>>;
+
+enum class RankOrderKind : std::uint8_t {
+    Follow, ///< Nothing to do: says who coordinates.
+    Prepare, ///< Take on what a map needs.
+    Arm, ///< Use the prepared map from a pass on.
+    Disarm,
+    Hold, ///< Do not begin a pass.
+    Release, ///< Begin it.
+};
+
+/** @return "follow", "prepare", "arm", "disarm", "hold" or "release". */
+std::string_view toString(RankOrderKind kind);
+
+/** One order to one rank. */
+struct RankOrder {
+    RankOrderKind kind = RankOrderKind::Follow;
+    std::uint64_t epoch = 0;
+    std::uint64_t version = 0; ///< Of Prepare, Arm and Disarm.
+    std::uint64_t step = 0; ///< Of Arm, Hold and Release.
+    RankExperts map{}; ///< Of Prepare.
+};
+
+/** What became of an order, as far as the answer tells. */
+enum class OrderOutcome : std::uint8_t {
+    Accepted, ///< Begun or done.
+    Conflict, ///< The rank's state forbids it.
+    Unknown, ///< No answer: it may have been carried out, or may be later.
+};
+
+} // namespace magnolia::group
+
+#endif
--- /dev/null
+++ b/libs/group/src/coordinator.cpp
@@ -0,0 +1,263 @@
+#include "coordinator.h"
+
+#include "observe/log.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace magnolia::group
+{
+
+namespace
+{
+
+// While a switch is in progress orders have to be repeated soon; a tick costs little beside that.
+constexpr Duration SwitchTick{20};
+constexpr Duration IdleTick{100};
+constexpr Duration FollowInterval{400};
+
+// The list of members is read again, while a rank is missing, and otherwise now and then: the calls are priced.
+constexpr Duration MissingRefresh{1000};
+constexpr Duration UsualRefresh{15000};
+
+std::shared_ptr<spdlog::logger> log()
+{
+    static const auto instance = observe::logger("group");
+    return instance;
+}
+
+} // namespace
+
+Coordinator::Coordinator(event_base *loop,
+                         const GroupOptions &options,
+                         std::uint64_t term,
+                         GroupStore &store,
+                         observe::Metrics &metrics,
+                         Callbacks callbacks)
+    : loop_(loop)
+    , options_(options)
+    , term_(term)
+    , store_(store)
+    , callbacks_(std::move(callbacks))
+    , switch_({.term = term})
+    , planner_({.placesPerRank = options.placesPerRank,
+                .mostNewPerSet = options.mostNewPerSet,
+                .mostNewPerRank = options.mostNewPerRank,
+                .leastGain = options.leastGain})
+    , switches_(metrics.counter("magnolia_group_switches_total", "Changes of the expert map that were begun."))
+    , copies_(metrics.counter("magnolia_group_copies_total", "Experts that ranks were told to take on."))
+    , timer_(loop, [this] { tick(); })
+{
+    refreshMembers();
+    timer_.start(IdleTick);
+}
+
+void Coordinator::refreshMembers()
+{
+    refreshedAt_ = BootClock::now();
+    store_.listMembers([this, alive = std::weak_ptr<bool>(alive_)](Result<std::vector<MemberAddress>> members) {
+        if (alive.expired()) {
+            return;
+        }
+        if (members) {
+            takeMembers(*members);
+        } else {
+            log()->warn("The members can't be read cause={}", members.error().detail);
+        }
+    });
+}
+
+void Coordinator::takeMembers(const std::vector<MemberAddress> &members)
+{
+    std::erase_if(members_, [&members](const auto &known) {
+        return std::none_of(members.begin(), members.end(), [&known](const MemberAddress &member) { return member.id == known.first; });
+    });
+    for (const MemberAddress &member : members) {
+        if (member.agent != options_.listenAddress && !members_.contains(member.id)) {
+            dialMember(member);
+        }
+    }
+}
+
+void Coordinator::dialMember(const MemberAddress &member)
+{
+    const std::string id = member.id;
+    members_[id].link = wire::LinkDialer::dial(loop_,
+                                               member.agent,
+                                               options_.links,
+                                               {.onUp =
+                                                    [this, id](const wire::PeerInfo &) {
+                                                        const RankOrder follow{.kind = RankOrderKind::Follow};
+                                                        members_[id].link->send(commandOf(follow, term_));
+                                                    },
+                                                .onMessage =
+                                                    [this, id](wire::Message &&message) {
+                                                        if (const auto *report = std::get_if<wire::RankReport>(&message)) {
+                                                            members_[id].rank = report->rank;
+                                                            takeReport(*report);
+                                                        }
+                                                    },
+                                                .onDown = [](const Failure &) {},
+                                                .onPeerLost = [id](const Failure &failure) { log()->info("Agent lost id={} cause={}", id, failure.detail); }});
+}
+
+void Coordinator::takeReport(const wire::RankReport &report)
+{
+    if (report.term > term_) {
+        log()->info("Overtaken term={} by={}", term_, report.term);
+        callbacks_.overtaken();
+        return;
+    }
+    if (report.term < term_) {
+        return; // Not yet heard of us: a rival's commands could still reach it.
+    }
+    const BootTime now = BootClock::now();
+    switch_.reported(stateOf(report), now);
+    if (switch_.epoch() != heldEpoch_) {
+        log()->info("New epoch group={} epoch={} size={}", report.group, switch_.epoch(), switch_.size());
+        heldEpoch_ = switch_.epoch();
+        held_.clear();
+    }
+    if (!report.experts.empty() && report.epoch == heldEpoch_) {
+        if (auto experts = decodeSetExperts(report.experts)) {
+            held_[report.rank] = {.version = report.expertsVersion, .experts = std::move(*experts)};
+        }
+    }
+    takeDemand(report);
+    tick();
+}
+
+void Coordinator::takeDemand(const wire::RankReport &report)
+{
+    if (report.counts.empty()) {
+        return;
+    }
+    const auto counts = decodeCounts(report.counts);
+    if (!counts) {
+        log()->warn("Counts can't be read rank={} cause={}", report.rank, counts.error().detail);
+        return;
+    }
+    const BootTime now = BootClock::now();
+    if (demand_.size() != counts->size()) {
+        demand_.assign(counts->size(), 0.0);
+        demandAt_ = now;
+    }
+    const double age = std::chrono::duration<double>(now - demandAt_) / std::chrono::duration<double>(options_.demandHalfLife);
+    const double factor = std::exp2(-age);
+    demandAt_ = now;
+    for (std::size_t index = 0; index < demand_.size(); ++index) {
+        demand_[index] = demand_[index] * factor + static_cast<double>((*counts)[index]);
+    }
+}
+
+void Coordinator::tick()
+{
+    const BootTime now = BootClock::now();
+    if (const auto current = currentMap()) {
+        switch_.setCurrent(*current);
+        for (const AddressedOrder &addressed : switch_.due(now)) {
+            send(addressed.rank, addressed.order);
+        }
+        if (switch_.isIdle() && now - plannedAt_ >= options_.planInterval) {
+            plannedAt_ = now;
+            plan();
+        }
+    }
+    if (switch_.phase() != loggedPhase_) {
+        loggedPhase_ = switch_.phase();
+        log()->info("Phase={} version={} epoch={} last_step={}", toString(loggedPhase_), switch_.version(), switch_.epoch(), switch_.lastStep());
+    }
+    if (now - followedAt_ >= FollowInterval) {
+        sendFollow();
+    }
+    const bool isMissing = switch_.phase() == MapSwitch::Phase::Unknown;
+    if (now - refreshedAt_ >= (isMissing ? MissingRefresh : UsualRefresh)) {
+        refreshMembers();
+    }
+    timer_.start(switch_.isIdle() || isMissing ? IdleTick : SwitchTick);
+}
+
+void Coordinator::sendFollow()
+{
+    followedAt_ = BootClock::now();
+    const wire::RankCommand follow = commandOf({.kind = RankOrderKind::Follow}, term_);
+    for (const auto &[id, member] : members_) {
+        member.link->send(follow);
+    }
+}
+
+bool Coordinator::send(std::uint32_t rank, const RankOrder &order)
+{
+    if (rank == ownRank_) {
+        callbacks_.orderOwn(order);
+        return true;
+    }
+    for (const auto &[id, member] : members_) {
+        if (member.rank == rank && member.link->isUp()) {
+            return member.link->send(commandOf(order, term_));
+        }
+    }
+    return false;
+}
+
+std::optional<RankExperts> Coordinator::currentMap() const
+{
+    if (switch_.size() == 0 || held_.size() != switch_.size()) {
+        return std::nullopt;
+    }
+    const std::uint64_t version = held_.begin()->second.version;
+    const std::size_t sets = held_.begin()->second.experts.size();
+    RankExperts map(sets, std::vector<std::vector<std::uint16_t>>(held_.size()));
+    for (const auto &[rank, held] : held_) {
+        if (held.version != version || held.experts.size() != sets) {
+            return std::nullopt; // A switch has not been seen everywhere yet.
+        }
+        for (std::size_t set = 0; set < sets; ++set) {
+            map[set][rank] = held.experts[set];
+        }
+    }
+    return map;
+}
+
+std::vector<std::vector<double>> Coordinator::shares(std::size_t sets) const
+{
+    const std::size_t experts = demand_.size() / sets;
+    std::vector<std::vector<double>> shares(sets);
+    for (std::size_t set = 0; set < sets; ++set) {
+        const auto first = demand_.begin() + static_cast<std::ptrdiff_t>(set * experts);
+        shares[set].assign(first, first + static_cast<std::ptrdiff_t>(experts));
+        double total = 0;
+        for (const double share : shares[set]) {
+            total += share;
+        }
+        for (double &share : shares[set]) {
+            share /= std::max(total, 1.0);
+        }
+    }
+    return shares;
+}
+
+void Coordinator::plan()
+{
+    const auto current = currentMap();
+    if (!current || current->empty() || demand_.empty()) {
+        return;
+    }
+    const auto demand = shares(current->size());
+    auto plan = planner_.plan(*current, demand);
+    if (!plan) {
+        return;
+    }
+    switches_.add();
+    copies_.add(static_cast<double>(plan->copies));
+    switch_.begin(std::move(plan->map), *current, BootClock::now());
+    log()->info("Map planned version={} copies={} load_before={:.3f} load_after={:.3f} sets={}",
+                switch_.version(),
+                plan->copies,
+                plan->loadBefore,
+                plan->loadAfter,
+                current->size());
+}
+
+} // namespace magnolia::group
--- /dev/null
+++ b/libs/group/src/coordinator.h
@@ -0,0 +1,92 @@
+#ifndef MAGNOLIA_GROUP_COORDINATOR_H
+#define MAGNOLIA_GROUP_COORDINATOR_H
+
+#include "group/engineport.h"
+#include "group/grouptask.h"
+#include "group/mapswitch.h"
+#include "group/replicaplanner.h"
+#include "groupcodec.h"
+#include "http/timer.h"
+#include "observe/metrics.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace magnolia::group
+{
+
+/**
+ * The coordinator's side of one term: links to all agents of the group, demand, and changes of the map.
+ *
+ * Owned by the agent that holds the term; destroyed when it loses it. On its loop's thread.
+ */
+class Coordinator
+{
+public:
+    struct Callbacks {
+        std::function<void(const RankOrder &)> orderOwn{}; ///< For the engine beside this agent.
+        std::function<void()> overtaken{}; ///< A higher term was heard of; may destroy this behind the callback.
+    };
+
+    Coordinator(event_base *loop, const GroupOptions &options, std::uint64_t term, GroupStore &store, observe::Metrics &metrics, Callbacks callbacks);
+    Coordinator(const Coordinator &) = delete;
+    Coordinator &operator=(const Coordinator &) = delete;
+
+    void takeReport(const wire::RankReport &report);
+    void setOwnRank(std::uint32_t rank)
+    {
+        ownRank_ = rank;
+    }
+
+private:
+    struct Member {
+        std::unique_ptr<wire::LinkDialer> link;
+        std::optional<std::uint32_t> rank;
+    };
+
+    struct Held {
+        std::uint64_t version = 0;
+        SetExperts experts;
+    };
+
+    void refreshMembers();
+    void takeMembers(const std::vector<MemberAddress> &members);
+    void dialMember(const MemberAddress &member);
+    void tick();
+    void takeDemand(const wire::RankReport &report);
+    void plan();
+    void sendFollow();
+    bool send(std::uint32_t rank, const RankOrder &order);
+    std::optional<RankExperts> currentMap() const;
+    std::vector<std::vector<double>> shares(std::size_t sets) const;
+
+    event_base *loop_;
+    GroupOptions options_;
+    std::uint64_t term_;
+    GroupStore &store_;
+    Callbacks callbacks_;
+    MapSwitch switch_;
+    ReplicaPlanner planner_;
+    std::optional<std::uint32_t> ownRank_;
+    std::map<std::string, Member> members_; ///< By the id of their engine's run.
+    std::map<std::uint32_t, Held> held_; ///< By rank.
+    std::uint64_t heldEpoch_ = 0;
+    std::vector<double> demand_; ///< Decayed choices, set by set.
+    BootTime demandAt_;
+    BootTime plannedAt_;
+    BootTime followedAt_;
+    BootTime refreshedAt_;
+    MapSwitch::Phase loggedPhase_ = MapSwitch::Phase::Unknown;
+    observe::Counter &switches_;
+    observe::Counter &copies_;
+    http::Timer timer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace magnolia::group
+
+#endif
--- /dev/null
+++ b/libs/group/src/grouptask.cpp
@@ -0,0 +1,305 @@
+#include "group/grouptask.h"
+
+#include "base/random.h"
+#include "coordinator.h"
+#include "groupcodec.h"
+#include "http/timer.h"
+#include "observe/log.h"
+
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace magnolia::group
+{
+
+namespace
+{
+
+// Each agent waits a random part of this longer, so that not all ask the store at once.
+constexpr Duration PatienceSpread{1200};
+
+std::shared_ptr<spdlog::logger> log()
+{
+    static const auto instance = observe::logger("group");
+    return instance;
+}
+
+class GroupTaskImpl final : public GroupTask
+{
+public:
+    GroupTaskImpl(event_base *loop, GroupOptions options, EnginePort &engine, GroupStore &store, observe::Metrics &metrics)
+        : loop_(loop)
+        , options_(std::move(options))
+        , engine_(engine)
+        , store_(store)
+        , metrics_(metrics)
+        , random_(seededRandom())
+        , pollTimer_(loop, [this] { poll(); })
+        , resignTimer_(loop, [this] { coordinator_.reset(); })
+        , heardAt_(BootClock::now())
+    {
+        drawPatience();
+    }
+    ~GroupTaskImpl() override = default;
+    GroupTaskImpl(const GroupTaskImpl &) = delete;
+    GroupTaskImpl &operator=(const GroupTaskImpl &) = delete;
+
+    Result<void> listen();
+
+private:
+    void drawPatience();
+    void poll();
+    void takeState(const RankState &state);
+    void takeCounts(const ExpertCounts &counts);
+    void readHeldIfNew();
+    void publish();
+    void takeCommand(const wire::RankCommand &command);
+    void carryOut(const RankOrder &order);
+    void contendIfSilent();
+    void takeRow(const CoordinatorRow &row);
+    void becomeCoordinator(std::uint64_t term);
+
+    template<typename T, typename F>
+    auto guarded(F callback)
+    {
+        return [alive = std::weak_ptr<bool>(alive_), callback = std::move(callback)](T value) mutable {
+            if (!alive.expired()) {
+                callback(std::move(value));
+            }
+        };
+    }
+
+    event_base *loop_;
+    GroupOptions options_;
+    EnginePort &engine_;
+    GroupStore &store_;
+    observe::Metrics &metrics_;
+    Random random_;
+    http::Timer pollTimer_;
+    http::Timer resignTimer_;
+    std::unique_ptr<wire::LinkListener> listener_;
+    std::map<std::uint64_t, std::unique_ptr<wire::Link>> links_; ///< To coordinators.
+    std::uint64_t lastLink_ = 0;
+
+    std::optional<RankState> state_;
+    std::optional<ExpertCounts> counted_; ///< As of the last report.
+    std::vector<std::uint64_t> news_; ///< Choices since the last report.
+    HeldExperts held_;
+    bool isHeldKnown_ = false;
+    std::uint64_t term_ = 0; ///< Highest heard of.
+    BootTime heardAt_;
+    Duration patience_{0};
+    bool isContending_ = false;
+    CoordinatorRow row_;
+    std::unique_ptr<Coordinator> coordinator_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+Result<void> GroupTaskImpl::listen()
+{
+    auto listener = wire::LinkListener::listen(loop_, options_.listenAddress, options_.links, [this](std::unique_ptr<wire::Link> link) {
+        const std::uint64_t number = ++lastLink_;
+        links_.emplace(number, std::move(link));
+        return wire::Link::Callbacks{.onReady = {},
+                                     .onMessage =
+                                         [this](wire::Message &&message) {
+                                             if (const auto *command = std::get_if<wire::RankCommand>(&message)) {
+                                                 takeCommand(*command);
+                                             }
+                                         },
+                                     .onClosed = [this, number](const Failure &) { links_.erase(number); }};
+    });
+    if (!listener) {
+        return tl::unexpected(listener.error());
+    }
+    listener_ = std::move(*listener);
+    poll();
+    return {};
+}
+
+void GroupTaskImpl::drawPatience()
+{
+    patience_ = options_.patience + Duration(std::uniform_int_distribution<Duration::rep>(0, PatienceSpread.count())(random_));
+}
+
+void GroupTaskImpl::poll()
+{
+    pollTimer_.start(options_.poll);
+    engine_.readState(guarded<Result<RankState>>([this](Result<RankState> state) {
+        if (state) {
+            takeState(*state);
+        }
+    }));
+}
+
+void GroupTaskImpl::takeState(const RankState &state)
+{
+    if (!state_ || state_->epoch != state.epoch) {
+        isHeldKnown_ = false;
+    }
+    state_ = state;
+    engine_.readCounts(guarded<Result<ExpertCounts>>([this](Result<ExpertCounts> counts) {
+        if (counts) {
+            takeCounts(*counts);
+        }
+        publish();
+    }));
+    readHeldIfNew();
+    contendIfSilent();
+}
+
+void GroupTaskImpl::takeCounts(const ExpertCounts &counts)
+{
+    const bool isContinued = counted_ && counted_->counts.size() == counts.counts.size();
+    news_.resize(counts.counts.size(), 0);
+    for (std::size_t index = 0; isContinued && index < counts.counts.size(); ++index) {
+        const std::uint64_t before = counted_->counts[index];
+        news_[index] += counts.counts[index] >= before ? counts.counts[index] - before : counts.counts[index]; // Less: the engine is new.
+    }
+    counted_ = counts;
+}
+
+void GroupTaskImpl::readHeldIfNew()
+{
+    if (isHeldKnown_ && held_.version == state_->map) {
+        return;
+    }
+    engine_.readHeld(guarded<Result<HeldExperts>>([this](Result<HeldExperts> held) {
+        if (held) {
+            held_ = std::move(*held);
+            isHeldKnown_ = true;
+            publish();
+        }
+    }));
+}
+
+void GroupTaskImpl::publish()
+{
+    if (!state_) {
+        return;
+    }
+    wire::RankReport report = reportOf(*state_);
+    report.term = term_;
+    if (isHeldKnown_ && held_.epoch == state_->epoch) {
+        report.expertsVersion = held_.version;
+        report.experts = encodeSetExperts(held_.experts);
+    }
+    bool isAnyNew = false;
+    for (const std::uint64_t count : news_) {
+        isAnyNew = isAnyNew || count > 0;
+    }
+    if (isAnyNew && (coordinator_ != nullptr || !links_.empty())) {
+        report.counts = encodeCounts(news_);
+        news_.assign(news_.size(), 0);
+    }
+    if (coordinator_ != nullptr) {
+        coordinator_->setOwnRank(state_->rank);
+        coordinator_->takeReport(report);
+    }
+    for (const auto &[number, link] : links_) {
+        link->send(report);
+    }
+}
+
+void GroupTaskImpl::takeCommand(const wire::RankCommand &command)
+{
+    if (command.term < term_) {
+        publish(); // Tells it of the higher term.
+        return;
+    }
+    if (command.term > term_) {
+        log()->info("Follows term={} before={}", command.term, term_);
+        term_ = command.term;
+        coordinator_.reset();
+        publish();
+    }
+    heardAt_ = BootClock::now();
+    const auto order = orderOf(command);
+    if (!order) {
+        log()->warn("A command can't be read cause={}", order.error().detail);
+        return;
+    }
+    if (order->kind != RankOrderKind::Follow) {
+        carryOut(*order);
+    }
+}
+
+void GroupTaskImpl::carryOut(const RankOrder &order)
+{
+    engine_.order(order, guarded<OrderOutcome>([this, kind = order.kind, version = order.version, step = order.step](OrderOutcome outcome) {
+        if (outcome != OrderOutcome::Accepted) {
+            log()->info("Order kind={} version={} step={} outcome={}", toString(kind), version, step, outcome == OrderOutcome::Conflict ? "conflict" : "unknown");
+        }
+        engine_.readState(guarded<Result<RankState>>([this](Result<RankState> state) {
+            if (state) {
+                state_ = *state;
+                publish();
+            }
+        }));
+    }));
+}
+
+void GroupTaskImpl::contendIfSilent()
+{
+    const BootTime now = BootClock::now();
+    if (coordinator_ != nullptr || isContending_ || !state_->isOpen || now - heardAt_ < patience_) {
+        return;
+    }
+    isContending_ = true;
+    heardAt_ = now;
+    drawPatience();
+    store_.readCoordinator(state_->group, guarded<Result<CoordinatorRow>>([this](Result<CoordinatorRow> row) {
+        isContending_ = false;
+        if (row) {
+            takeRow(*row);
+        }
+    }));
+}
+
+void GroupTaskImpl::takeRow(const CoordinatorRow &row)
+{
+    const bool hasChanged = row.term != row_.term;
+    row_ = row;
+    if (hasChanged && row.term > 0 && row.holder != options_.instance) {
+        return; // Somebody has just taken it, and will be heard of soon.
+    }
+    store_.takeCoordinator(
+        state_->group, row.term, options_.instance, guarded<Result<std::optional<std::uint64_t>>>([this](Result<std::optional<std::uint64_t>> term) {
+            if (term && *term && **term > term_) {
+                becomeCoordinator(**term);
+            }
+        }));
+}
+
+void GroupTaskImpl::becomeCoordinator(std::uint64_t term)
+{
+    term_ = term;
+    log()->info("Coordinates group={} term={} before={}", state_->group, term, row_.holder);
+    coordinator_ = std::make_unique<Coordinator>(loop_,
+                                                 options_,
+                                                 term,
+                                                 store_,
+                                                 metrics_,
+                                                 Coordinator::Callbacks{.orderOwn = [this](const RankOrder &order) { carryOut(order); },
+                                                                        .overtaken =
+                                                                            [this] {
+                                                                                heardAt_ = BootClock::now();
+                                                                                resignTimer_.start(Duration(0)); // Not under its own call.
+                                                                            }});
+    publish();
+}
+
+} // namespace
+
+Result<std::unique_ptr<GroupTask>>
+GroupTask::start(event_base *loop, GroupOptions options, EnginePort &engine, GroupStore &store, observe::Metrics &metrics)
+{
+    auto task = std::make_unique<GroupTaskImpl>(loop, std::move(options), engine, store, metrics);
+    if (const auto listening = task->listen(); !listening) {
+        return tl::unexpected(listening.error());
+    }
+    return task;
+}
+
+} // namespace magnolia::group
--- /dev/null
+++ b/libs/group/src/mapswitch.cpp
@@ -0,0 +1,287 @@
+#include "group/mapswitch.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace magnolia::group
+{
+
+namespace
+{
+
+// Versions of one term; a term lasts until another coordinator takes over, and changes of map are seconds apart.
+constexpr std::uint64_t VersionsPerTerm = 1U << 16U;
+
+} // namespace
+
+std::string_view toString(RankOrderKind kind)
+{
+    switch (kind) {
+    case RankOrderKind::Follow:
+        return "follow";
+    case RankOrderKind::Prepare:
+        return "prepare";
+    case RankOrderKind::Arm:
+        return "arm";
+    case RankOrderKind::Disarm:
+        return "disarm";
+    case RankOrderKind::Hold:
+        return "hold";
+    case RankOrderKind::Release:
+        return "release";
+    }
+    return "follow";
+}
+
+std::string_view toString(MapSwitch::Phase phase)
+{
+    switch (phase) {
+    case MapSwitch::Phase::Unknown:
+        return "unknown";
+    case MapSwitch::Phase::Idle:
+        return "idle";
+    case MapSwitch::Phase::Preparing:
+        return "preparing";
+    case MapSwitch::Phase::Holding:
+        return "holding";
+    case MapSwitch::Phase::Arming:
+        return "arming";
+    case MapSwitch::Phase::Releasing:
+        return "releasing";
+    case MapSwitch::Phase::Undoing:
+        return "undoing";
+    case MapSwitch::Phase::UndoReleasing:
+        return "undo-releasing";
+    }
+    return "unknown";
+}
+
+MapSwitch::MapSwitch(Options options) : options_(options) {}
+
+void MapSwitch::reported(const RankState &state, BootTime now)
+{
+    const bool isNews = state.epoch > epoch_ || ranks_.size() != state.size;
+    if (state.epoch < epoch_ || state.rank >= state.size) {
+        return; // Of an earlier epoch: late.
+    }
+    if (isNews) {
+        reset(state);
+    }
+    ranks_[state.rank].state = state;
+    advance(now);
+}
+
+void MapSwitch::reset(const RankState &state)
+{
+    epoch_ = state.epoch;
+    ranks_.assign(state.size, {});
+    phase_ = Phase::Unknown;
+}
+
+void MapSwitch::enter(Phase phase, BootTime now)
+{
+    phase_ = phase;
+    phaseSince_ = now;
+    for (Member &member : ranks_) {
+        member.ordered.reset();
+    }
+}
+
+const RankState *MapSwitch::rank(std::uint32_t index) const
+{
+    return index < ranks_.size() && ranks_[index].state ? &*ranks_[index].state : nullptr;
+}
+
+std::uint64_t MapSwitch::lastStep() const
+{
+    std::uint64_t last = 0;
+    for (const Member &member : ranks_) {
+        last = std::max(last, member.state ? member.state->step : 0);
+    }
+    return last;
+}
+
+bool MapSwitch::allReported() const
+{
+    return !ranks_.empty() && std::all_of(ranks_.begin(), ranks_.end(), [](const Member &member) { return member.state.has_value(); });
+}
+
+template<typename Condition>
+bool MapSwitch::all(Condition condition) const
+{
+    return std::all_of(ranks_.begin(), ranks_.end(), [&condition](const Member &member) { return condition(*member.state); });
+}
+
+std::optional<std::uint32_t> MapSwitch::holder() const
+{
+    for (const Member &member : ranks_) {
+        if (member.state && member.state->held) {
+            return member.state->rank;
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint64_t MapSwitch::nextVersion()
+{
+    return options_.term * VersionsPerTerm + ++count_;
+}
+
+void MapSwitch::begin(RankExperts map, RankExperts current, BootTime now)
+{
+    map_ = std::move(map);
+    current_ = std::move(current);
+    version_ = nextVersion();
+    enter(Phase::Preparing, now);
+}
+
+/** Goes on from whatever the ranks report, after a takeover or a new epoch. */
+void MapSwitch::takeUp(BootTime now)
+{
+    const auto held = holder();
+    const bool isAnyArmed = !all([](const RankState &state) { return !state.armed; });
+    if (!held && !isAnyArmed) {
+        enter(Phase::Idle, now);
+        return;
+    }
+    if (held) {
+        holder_ = *held;
+        step_ = *ranks_[*held].state->held;
+    }
+    const auto first = ranks_.front().state->armed;
+    const bool isArmedEverywhere = held && first && all([&](const RankState &state) { return state.armed == first; });
+    if (isArmedEverywhere && first->step == step_) {
+        version_ = first->version;
+        enter(Phase::Releasing, now);
+        return;
+    }
+    undoVersion_ = nextVersion();
+    enter(Phase::Undoing, now);
+}
+
+void MapSwitch::advance(BootTime now)
+{
+    if (!allReported()) {
+        return;
+    }
+    switch (phase_) {
+    case Phase::Unknown:
+        takeUp(now);
+        break;
+    case Phase::Idle:
+        if (holder() || !all([](const RankState &state) { return !state.armed; })) {
+            takeUp(now); // An order of an earlier coordinator was carried out late.
+        }
+        break;
+    case Phase::Preparing:
+        if (all([this](const RankState &state) { return state.prepared == version_; })) {
+            step_ = lastStep() + options_.stepsAhead;
+            holder_ = 0;
+            enter(Phase::Holding, now);
+        }
+        break;
+    case Phase::Holding:
+        // The hold that stands may be one of an earlier try, for another pass: a rank has one at a time.
+        if (const auto held = holder()) {
+            holder_ = *held;
+            step_ = *ranks_[*held].state->held;
+            enter(Phase::Arming, now);
+        }
+        break;
+    case Phase::Arming:
+        if (all([this](const RankState &state) { return state.armed == ArmedMap{.version = version_, .step = step_}; })) {
+            enter(Phase::Releasing, now);
+        }
+        break;
+    case Phase::Releasing:
+        if (all([this](const RankState &state) { return state.map == version_ && !state.armed; })) {
+            enter(Phase::Idle, now);
+        }
+        break;
+    case Phase::Undoing:
+        if (all([this](const RankState &state) { return !state.armed && state.prepared == undoVersion_; })) {
+            enter(Phase::UndoReleasing, now);
+        }
+        break;
+    case Phase::UndoReleasing:
+        if (!holder()) {
+            enter(Phase::Idle, now);
+        }
+        break;
+    }
+}
+
+void MapSwitch::give(std::vector<AddressedOrder> &orders, std::uint32_t rank, RankOrder order, BootTime now)
+{
+    Member &member = ranks_[rank];
+    const Duration retry = order.kind == RankOrderKind::Prepare ? options_.prepareRetry : options_.orderRetry;
+    const bool isRepeat = member.ordered == order.kind && member.orderedVersion == order.version;
+    if (isRepeat && now < member.orderedAt + retry) {
+        return;
+    }
+    member.ordered = order.kind;
+    member.orderedVersion = order.version;
+    member.orderedAt = now;
+    order.epoch = epoch_;
+    orders.push_back({.rank = rank, .order = std::move(order)});
+}
+
+std::vector<AddressedOrder> MapSwitch::due(BootTime now)
+{
+    std::vector<AddressedOrder> orders;
+    if (phase_ == Phase::Preparing && now > phaseSince_ + options_.prepareLimit) {
+        enter(Phase::Idle, now); // Nothing is armed or held; what is prepared is replaced by the next.
+    }
+    if (phase_ == Phase::Holding && lastStep() >= step_) {
+        // The pass began before the hold reached its rank, which then refuses it: a later one is held.
+        step_ = lastStep() + 2 * options_.stepsAhead;
+        enter(Phase::Holding, now);
+    }
+    if (phase_ == Phase::Arming && now > phaseSince_ + options_.armLimit) {
+        undoVersion_ = nextVersion();
+        enter(Phase::Undoing, now);
+    }
+    for (std::uint32_t rank = 0; rank < ranks_.size(); ++rank) {
+        if (!ranks_[rank].state) {
+            continue;
+        }
+        const RankState &state = *ranks_[rank].state;
+        switch (phase_) {
+        case Phase::Preparing:
+            if (state.prepared != version_) {
+                give(orders, rank, {.kind = RankOrderKind::Prepare, .version = version_, .map = map_}, now);
+            }
+            break;
+        case Phase::Holding:
+            if (rank == holder_ && !state.held) {
+                give(orders, rank, {.kind = RankOrderKind::Hold, .version = step_, .step = step_}, now);
+            }
+            break;
+        case Phase::Arming:
+            if (state.armed != ArmedMap{.version = version_, .step = step_}) {
+                give(orders, rank, {.kind = RankOrderKind::Arm, .version = version_, .step = step_}, now);
+            }
+            break;
+        case Phase::Releasing:
+        case Phase::UndoReleasing:
+            if (state.held) {
+                give(orders, rank, {.kind = RankOrderKind::Release, .step = *state.held}, now);
+            }
+            break;
+        case Phase::Undoing:
+            if (state.armed) {
+                give(orders, rank, {.kind = RankOrderKind::Disarm, .version = state.armed->version}, now);
+            } else if (state.prepared != undoVersion_) {
+                give(orders, rank, {.kind = RankOrderKind::Prepare, .version = undoVersion_, .map = current_}, now);
+            }
+            break;
+        case Phase::Unknown:
+        case Phase::Idle:
+            break;
+        }
+    }
+    return orders;
+}
+
+} // namespace magnolia::group
--- a/libs/settings/include/settings/sections.h
+++ b/libs/settings/include/settings/sections.h
@@ -95,6 +95,12 @@
     std::string address; ///< "IP:PORT"
 };
 
+/** [engine]: the engine that an agent stands beside, as a rank of its group. */
+struct EngineSettings {
+    std::string address; ///< "IP:PORT"
+    std::string service; ///< The service that it belongs to.
+};
+
 /** [keys]: how long a caller's key is trusted. */
 struct KeysSettings {
     Duration revocationBound{5000}; ///< Within which a key that was taken away is refused everywhere.
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -51,6 +51,16 @@
     observe::LogOptions log;
 };
 
+/** Settings of an agent that takes part in its engine's group. */
+struct GroupSettings {
+    InstanceSettings instance;
+    EngineSettings engine;
+    LinksSettings links; ///< With the address that it listens on.
+    StoreSettings store;
+    MetricsSettings metrics;
+    observe::LogOptions log;
+};
+
 /** Settings of magnoliactl. */
 struct CtlSettings {
     DaemonsSettings operators;
@@ -74,7 +84,7 @@
 using Checked = tl::expected<S, std::vector<Problem>>;
 
 /**
- * Reads and checks a settings file; S is EntrySettings, AgentSettings, ForwardSettings or CtlSettings.
+ * Reads and checks a settings file; S is EntrySettings, AgentSettings, ForwardSettings, GroupSettings or CtlSettings.
  *
  * @code
  * const auto settings = settings::load<EntrySettings>(path);
@@ -95,6 +105,9 @@
 /** @return what libs/wire needs for links of an entry. */
 wire::LinkOptions linkOptions(const EntrySettings &settings);
 
+/** @return what libs/wire needs for links between the agents of a group. */
+wire::LinkOptions linkOptions(const GroupSettings &settings);
+
 /** @return what libs/wire needs for links of an agent. @param incarnation of this run of the agent. */
 wire::LinkOptions linkOptions(const AgentSettings &settings, wire::Incarnation incarnation);
 
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -142,6 +142,12 @@
     reader.readAddress("address", out.address, AddressUse::Connect, Presence::Required);
 }
 
+void readSection(TableReader &reader, EngineSettings &out)
+{
+    reader.readAddress("address", out.address, AddressUse::Connect, Presence::Required);
+    reader.readText("service", out.service, Presence::Required);
+}
+
 void readSection(TableReader &reader, KeysSettings &out)
 {
     reader.readDuration("revocation_bound_ms", out.revocationBound, {.least = 500, .most = Hour});
@@ -242,6 +248,16 @@
     file.section("log", out.log);
 }
 
+void readFile(FileReader &file, GroupSettings &out)
+{
+    file.section("instance", out.instance);
+    file.section("engine", out.engine);
+    file.section("links", ListeningLinks{.links = out.links});
+    file.section("store", out.store);
+    file.section("metrics", out.metrics);
+    file.section("log", out.log);
+}
+
 void readFile(FileReader &file, CtlSettings &out)
 {
     file.section("operators", out.operators);
@@ -316,6 +332,8 @@
 template Checked<CtlSettings> parse(std::string_view, std::string_view);
 template Checked<ForwardSettings> parse(std::string_view, std::string_view);
 template Checked<ForwardSettings> load(const std::string &);
+template Checked<GroupSettings> parse(std::string_view, std::string_view);
+template Checked<GroupSettings> load(const std::string &);
 template Checked<EntrySettings> load(const std::string &);
 template Checked<AgentSettings> load(const std::string &);
 template Checked<CtlSettings> load(const std::string &);
@@ -327,6 +345,13 @@
     return options;
 }
 
+wire::LinkOptions linkOptions(const GroupSettings &settings)
+{
+    wire::LinkOptions options = linkOptions(settings.instance, settings.links);
+    options.self.role = wire::Role::Agent;
+    return options;
+}
+
 wire::LinkOptions linkOptions(const AgentSettings &settings, wire::Incarnation incarnation)
 {
     wire::LinkOptions options = linkOptions(settings.instance, settings.links);
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -185,7 +185,57 @@
     bool operator==(const SwitchMessage &) const = default;
 };
 
-using Message = std::variant<Dispatch, Cancel, Query, QueryAnswer, Attach, Chunk, Finish, LoadReport, ManifestHead, ChunkRequest, ChunkData, SwitchMessage>;
+/** Agent to the coordinator of its group, some times a second and after each command: its engine as a rank. */
+struct RankReport {
+    std::string group;
+    std::uint64_t epoch = 0;
+    std::uint32_t rank = 0;
+    std::uint32_t size = 0; ///< Ranks of the group.
+    std::uint64_t term = 0; ///< Highest term of a coordinator that the agent has heard of.
+    bool isOpen = false;
+    std::uint64_t step = 0; ///< The last pass that was begun.
+    std::uint64_t map = 0;
+    std::uint64_t prepared = 0; ///< 0: none.
+    std::uint64_t armedVersion = 0; ///< 0: none.
+    std::uint64_t armedStep = 0;
+    bool isHeld = false;
+    std::uint64_t heldStep = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t paceThousandths = 1000;
+    std::string counts; ///< CBOR: choices of each expert since the last report, set by set; empty: none.
+    std::uint64_t expertsVersion = 0; ///< Of the map that `experts` is of.
+    std::string experts; ///< CBOR: experts of this rank by set; empty: as in the report before on this link.
+
+    bool operator==(const RankReport &) const = default;
+};
+
+/** Coordinator to agent: an order for its engine, or only who coordinates. Agents heed the highest term that they know. */
+struct RankCommand {
+    std::uint64_t term = 0;
+    std::uint8_t kind = 0; ///< group::RankOrderKind
+    std::uint64_t epoch = 0;
+    std::uint64_t version = 0;
+    std::uint64_t step = 0;
+    std::string map; ///< CBOR: experts by set, then by rank; empty if the kind carries none.
+
+    bool operator==(const RankCommand &) const = default;
+};
+
+using Message = std::variant<Dispatch,
+                             Cancel,
+                             Query,
+                             QueryAnswer,
+                             Attach,
+                             Chunk,
+                             Finish,
+                             LoadReport,
+                             ManifestHead,
+                             ChunkRequest,
+                             ChunkData,
+                             SwitchMessage,
+                             RankReport,
+                             RankCommand>;
 
 } // namespace magnolia::wire
 
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -26,6 +26,8 @@
     ChunkRequest = 10,
     ChunkData = 11,
     SwitchMessage = 12,
+    RankReport = 13,
+    RankCommand = 14,
 };
 
 template<typename T>
@@ -54,6 +56,10 @@
 constexpr MessageType TypeOf<ChunkData> = MessageType::ChunkData;
 template<>
 constexpr MessageType TypeOf<SwitchMessage> = MessageType::SwitchMessage;
+template<>
+constexpr MessageType TypeOf<RankReport> = MessageType::RankReport;
+template<>
+constexpr MessageType TypeOf<RankCommand> = MessageType::RankCommand;
 
 constexpr std::uint32_t MaxWeight = 1000;
 constexpr std::uint32_t MaxHttpStatus = 999;
@@ -205,6 +211,41 @@
     fields.bytes("d", message.payload, Optional);
 }
 
+template<typename F, Either<RankReport> M>
+void visitFields(F &fields, M &message)
+{
+    fields.text("g", message.group, Required);
+    fields.number("ep", message.epoch, Required);
+    fields.number("rk", message.rank, Required);
+    fields.number("sz", message.size, Required);
+    fields.number("tm", message.term, Required);
+    fields.flag("op", message.isOpen, Required);
+    fields.number("sp", message.step, Required);
+    fields.number("mp", message.map, Required);
+    fields.number("pr", message.prepared, Optional);
+    fields.number("av", message.armedVersion, Optional);
+    fields.number("as", message.armedStep, Optional);
+    fields.flag("ih", message.isHeld, Optional);
+    fields.number("hs", message.heldStep, Optional);
+    fields.number("r", message.running, Optional);
+    fields.number("w", message.waiting, Optional);
+    fields.number("pc", message.paceThousandths, Optional);
+    fields.bytes("c", message.counts, Optional);
+    fields.number("xv", message.expertsVersion, Optional);
+    fields.bytes("x", message.experts, Optional);
+}
+
+template<typename F, Either<RankCommand> M>
+void visitFields(F &fields, M &message)
+{
+    fields.number("tm", message.term, Required);
+    fields.number("kd", message.kind, Required);
+    fields.number("ep", message.epoch, Optional);
+    fields.number("v", message.version, Optional);
+    fields.number("sp", message.step, Optional);
+    fields.bytes("x", message.map, Optional);
+}
+
 template<typename T>
 Result<Message> read(FieldReader &fields)
 {
