--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -253,6 +253,8 @@
         isContending_ = false;
         if (row) {
             takeRow(*row);
+        } else {
+            log()->warn("The coordinator's row can't be read cause={}", row.error().detail);
         }
     }));
 }
@@ -260,13 +262,16 @@
 void GroupTaskImpl::takeRow(const CoordinatorRow &row)
 {
     const bool hasChanged = row.term != row_.term;
+    log()->info("No coordinator is heard of group={} row_term={} holder={} changed={}", state_->group, row.term, row.holder, hasChanged);
     row_ = row;
     if (hasChanged && row.term > 0 && row.holder != options_.instance) {
         return; // Somebody has just taken it, and will be heard of soon.
     }
     store_.takeCoordinator(
         state_->group, row.term, options_.instance, guarded<Result<std::optional<std::uint64_t>>>([this](Result<std::optional<std::uint64_t>> term) {
-            if (term && *term && **term > term_) {
+            if (!term) {
+                log()->warn("The coordinator's row can't be taken cause={}", term.error().detail);
+            } else if (*term && **term > term_) {
                 becomeCoordinator(**term);
             }
         }));
