forward: a started entry holds callers while it learns its routes

Cause: callers cut by the end of a process came back to its restart within milliseconds, were refused since no routes were known yet, and had used up their retry. Ruled out: listening only once routes are known: connections would be refused instead, which costs the retry as well.

--- a/libs/forward/src/forwardcore.h
+++ b/libs/forward/src/forwardcore.h
@@ -7,9 +7,17 @@
 #include "forwardmetrics.h"
 #include "requestlog.h"
 
+#include <functional>
+#include <utility>
+#include <vector>
+
 namespace magnolia::forward
 {
 
+// A process that has just started knows its routes and endpoints within a few tens of milliseconds if the store answers.
+// Callers whose connections were cut by its end come back at that very moment, and would use up their retry on a refusal.
+constexpr Duration StartTime{3000};
+
 /** What all requests of an entry share; owned by its task. */
 struct ForwardCore {
     ForwardCore(event_base *eventLoop, ForwardOptions forwardOptions, observe::Metrics &metricsRegistry)
@@ -23,6 +31,20 @@
     {
     }
 
+    /** The process has just started, and may learn what it lacks any moment. */
+    bool isStarting(BootTime now) const
+    {
+        return now < startedAt + StartTime;
+    }
+
+    /** Calls all who wait for news of routes or endpoints; each may begin to wait again. */
+    void tellNews()
+    {
+        for (const auto &waiter : std::exchange(waiters, {})) {
+            waiter();
+        }
+    }
+
     routing::RetryAllowance &allowanceOf(std::string_view service)
     {
         const auto found = allowances.find(service);
@@ -43,6 +65,8 @@
     ForwardMetrics metrics;
     RequestLog log;
     bool isStopping = false;
+    BootTime startedAt = BootClock::now();
+    std::vector<std::function<void()>> waiters; ///< For the next news.
 };
 
 } // namespace magnolia::forward
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -52,6 +52,11 @@
 constexpr Duration LongestIdleAtMostOnce{1000};
 constexpr Duration LongestIdle{60000};
 
+// News of routes and endpoints is waited for so long at most, and for a third of what the caller allows: after that it can
+// still try another instance.
+constexpr Duration LongestWait{1500};
+constexpr int PartsWaited = 3;
+
 // With nobody to send to, or only refusals: engines that restart are back after about a second.
 constexpr Duration RetryAfterUnavailable{800};
 constexpr Duration RetryAfterNoProof{1000};
@@ -105,9 +110,16 @@
 {
     const auto self = shared_from_this();
     setDeadline();
+    admit();
+}
+
+void Forwarding::admit()
+{
     routes_ = core_.routes;
     if (routes_ == nullptr) {
-        refuse(StatusUnavailable, RetryAfterNoProof, "no routes are known yet");
+        if (!waitForNews()) {
+            refuse(StatusUnavailable, RetryAfterNoProof, "no routes are known yet");
+        }
         return;
     }
     if (!findRoute() || !findOrganisation()) {
@@ -125,6 +137,23 @@
     sendNext();
 }
 
+/** @return false if there is nothing to wait for, or the time for it is over. */
+bool Forwarding::waitForNews()
+{
+    const BootTime now = BootClock::now();
+    if (!core_.isStarting(now) || now >= waitUntil_) {
+        return false;
+    }
+    isWaiting_ = true;
+    core_.waiters.push_back([waiting = weak_from_this()] {
+        if (const auto self = waiting.lock(); self != nullptr && std::exchange(self->isWaiting_, false)) {
+            self->route_ == nullptr || self->service_.empty() ? self->admit() : self->sendNext();
+        }
+    });
+    startTimer();
+    return true;
+}
+
 bool Forwarding::findRoute()
 {
     route_ = routes_->match(request_.head.headers.value("host"), pathOf(request_.head.target));
@@ -132,7 +161,9 @@
         return true;
     }
     if (!core_.proof.isFresh(BootClock::now())) {
-        refuse(StatusUnavailable, RetryAfterNoProof, "no route is known, and a newer version may have one");
+        if (!waitForNews()) {
+            refuse(StatusUnavailable, RetryAfterNoProof, "no route is known, and a newer version may have one");
+        }
         return false;
     }
     answerOwn(StatusNotFound, std::nullopt, "no route leads there");
@@ -145,7 +176,9 @@
         return true;
     }
     if (!core_.proof.isFresh(BootClock::now())) {
-        refuse(StatusUnavailable, RetryAfterNoProof, "it is not proved that the known keys are still valid");
+        if (!waitForNews()) {
+            refuse(StatusUnavailable, RetryAfterNoProof, "it is not proved that the known keys are still valid");
+        }
         return false;
     }
     organisation_ = routes_->organisationOf(request_.head.headers.value(core_.options.protocol.key));
@@ -161,6 +194,7 @@
     const auto stated = numberOf(request_.head.headers.value(core_.options.protocol.deadline));
     const Duration allowed = stated ? Duration(*stated) : UsualDeadline;
     deadline_ = request_.receivedAt + std::max(allowed - DeadlineMargin, Duration(0));
+    waitUntil_ = request_.receivedAt + std::min(LongestWait, allowed / PartsWaited);
 }
 
 BootClock::duration Forwarding::left() const
@@ -180,6 +214,9 @@
         send(endpoint);
         return;
     }
+    if (tried_.empty() && waitForNews()) {
+        return;
+    }
     if (fallback_) {
         passOn(std::move(*fallback_));
     } else if (isStreaming_) {
@@ -474,7 +511,7 @@
 void Forwarding::startTimer()
 {
     const BootTime now = BootClock::now();
-    BootTime next = deadline_;
+    BootTime next = isWaiting_ ? std::min(deadline_, waitUntil_) : deadline_;
     if (call_ != nullptr) {
         if (!call_->isConnected()) {
             next = std::min(next, sentAt_ + ConnectTimeout);
@@ -496,6 +533,11 @@
         giveUp();
         return;
     }
+    if (isWaiting_ && now >= waitUntil_) {
+        isWaiting_ = false;
+        route_ == nullptr || service_.empty() ? admit() : sendNext(); // Refuses, unless there is news.
+        return;
+    }
     if (call_ == nullptr) {
         return;
     }
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -47,6 +47,8 @@
     };
 
     // Admission.
+    void admit();
+    bool waitForNews();
     bool findRoute();
     bool findOrganisation();
     void setDeadline();
@@ -89,6 +91,8 @@
     const routing::Organisation *organisation_ = nullptr;
     std::string service_;
     BootTime deadline_; ///< The final answer is due by then.
+    BootTime waitUntil_; ///< News of routes and endpoints is waited for no longer.
+    bool isWaiting_ = false;
     http::Timer timer_;
 
     std::vector<std::string> tried_; ///< Ids of endpoints.
--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -167,11 +167,13 @@
                 core_.routes->config().routes.size(),
                 core_.routes->config().services.size(),
                 core_.routes->config().organisations.size());
+    core_.tellNews();
 }
 
 void ForwardTaskImpl::confirmRoutes(BootTime asOf)
 {
     core_.proof.confirmed(asOf);
+    core_.tellNews();
 }
 
 void ForwardTaskImpl::putEndpoint(const routing::EndpointRecord &record)
@@ -189,6 +191,8 @@
     }
     if (record.isLeaving) {
         core_.connections.closeAll(record.id);
+    } else if (isNews) {
+        core_.tellNews();
     }
 }
 
--- a/libs/group/include/group/grouptask.h
+++ b/libs/group/include/group/grouptask.h
@@ -21,7 +21,7 @@
     std::string listenAddress{}; ///< "IP:PORT" for the coordinator's link.
     wire::LinkOptions links{};
     Duration poll{150}; ///< Between two looks at the engine; free from its own instance.
-    Duration patience{1500}; ///< Without a coordinator's word for so long another takes its place.
+    Duration patience{1000}; ///< Without a coordinator's word for so long another takes its place.
     Duration demandHalfLife{700}; ///< Age at which a choice of an expert counts half.
     Duration planInterval{300}; ///< Between two looks for a better map.
     std::size_t placesPerRank = 0; ///< In each set; 0: read by the store's layout.
--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -17,7 +17,7 @@
 {
 
 // Each agent waits a random part of this longer, so that not all ask the store at once.
-constexpr Duration PatienceSpread{1200};
+constexpr Duration PatienceSpread{600};
 
 std::shared_ptr<spdlog::logger> log()
 {
