--- a/libs/http/tests/rawpeer.h
+++ b/libs/http/tests/rawpeer.h
@@ -71,6 +71,10 @@
     {
         return requests_;
     }
+    const std::string &lastRequest() const
+    {
+        return lastRequest_;
+    }
     std::size_t open() const
     {
         return streams_.size();
@@ -126,6 +130,7 @@
         if (received.find("\r\n\r\n") == std::string::npos) {
             return;
         }
+        peer->lastRequest_ = received;
         const Answer answer = peer->script_(++peer->requests_);
         bufferevent_write(stream, answer.bytes.data(), answer.bytes.size());
         if (answer.then == Then::Reset) {
@@ -161,6 +166,7 @@
     std::vector<bufferevent *> closing_; ///< To be closed once their answer is written.
     int connections_ = 0;
     int requests_ = 0;
+    std::string lastRequest_;
 };
 
 /** A caller that sends whatever bytes a test likes. */
--- a/libs/store/include/store/changefeed.h
+++ b/libs/store/include/store/changefeed.h
@@ -21,7 +21,7 @@
 
 /** What the store answered. */
 struct FeedAnswer {
-    std::vector<FeedRow> rows; ///< In the order of their changes, or by key if all were read.
+    std::vector<FeedRow> rows{}; ///< In the order of their changes, or by key if all were read.
     std::uint64_t version = 0; ///< Changes are asked for behind it the next time.
     Duration storeTime{0}; ///< The store's steady clock when it answered.
     bool isHistoryGone = false; ///< The changes asked for are no longer known: all rows have to be read.
