--- a/libs/observe/include/observe/log.h
+++ b/libs/observe/include/observe/log.h
@@ -15,7 +15,7 @@
 
 enum class LogFormat : std::uint8_t {
     Text, ///< "2026-12-02T18:40:00.123Z info  link: peer agent-1 is up"
-    Json, ///< One object a line: time, level, part, message.
+    Json, ///< One object a line: time, level, part, message, and a member for each "name=value" at the message's end.
 };
 
 struct LogOptions {
--- a/libs/observe/src/log.cpp
+++ b/libs/observe/src/log.cpp
@@ -6,6 +6,8 @@
 #include <spdlog/sinks/dist_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
+#include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <mutex>
 #include <string>
@@ -73,6 +75,59 @@
     }
 }
 
+bool isFieldName(std::string_view text)
+{
+    const auto isNameLetter = [](char letter) { return (letter >= 'a' && letter <= 'z') || letter == '_'; };
+    return !text.empty() && std::all_of(text.begin(), text.end(), isNameLetter);
+}
+
+/** Position of the blank before the next " name=" at or behind a position; npos if there is none. */
+std::size_t nextField(std::string_view sentence, std::size_t from)
+{
+    for (std::size_t blank = sentence.find(' ', from); blank != std::string_view::npos; blank = sentence.find(' ', blank + 1)) {
+        const std::size_t equals = sentence.find('=', blank + 1);
+        if (equals == std::string_view::npos) {
+            return equals;
+        }
+        if (isFieldName(sentence.substr(blank + 1, equals - blank - 1))) {
+            return blank;
+        }
+    }
+    return std::string_view::npos;
+}
+
+nlohmann::ordered_json fieldValue(std::string_view text)
+{
+    std::int64_t number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (!text.empty() && parsed.ec == std::errc() && parsed.ptr == text.data() + text.size()) {
+        return number;
+    }
+    if (text == "true" || text == "false") {
+        return text == "true";
+    }
+    return std::string(text);
+}
+
+/**
+ * Moves the "name=value" pairs that end a sentence into members of their own, so that lines can be searched by them. The
+ * first of a name wins: text from outside stands in the last value, and can't replace what stands before it.
+ */
+void putFields(nlohmann::ordered_json &line, std::string_view sentence)
+{
+    std::size_t at = nextField(sentence, 0);
+    line["message"] = std::string(sentence.substr(0, at));
+    while (at != std::string_view::npos) {
+        const std::size_t equals = sentence.find('=', at);
+        const std::size_t next = nextField(sentence, equals);
+        const std::string name(sentence.substr(at + 1, equals - at - 1));
+        if (!line.contains(name)) {
+            line[name] = fieldValue(sentence.substr(equals + 1, next == std::string_view::npos ? next : next - equals - 1));
+        }
+        at = next;
+    }
+}
+
 class LineFormatter final : public spdlog::formatter
 {
 public:
@@ -115,7 +170,7 @@
         line["time"] = utcTime(message.time);
         line["level"] = levelName(message);
         line["part"] = part(message);
-        line["message"] = sentence;
+        putFields(line, sentence);
         // A peer's text need not be UTF-8, and dump() would throw on it.
         return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n";
     }
