group: engines beside silent agents are addressed directly; a held group's agent is the coordinator's own

Cause: with the instance of the holding rank's agent frozen, a group stood still for 4 s. Ruled out: the successor as the cause: it took over after 0.8 s. What is left: an engine on a frozen instance does not answer anybody, so whether its rank is armed can't be proved, and releasing would risk two maps in a pass.

--- a/libs/forward/include/forward/forwardtask.h
+++ b/libs/forward/include/forward/forwardtask.h
@@ -49,8 +49,7 @@
     virtual ~ForwardTask() = default;
 
     /** @param onStopped called once after drain(), when the process may end. */
-    static Result<std::unique_ptr<ForwardTask>>
-    start(event_base *loop, ForwardOptions options, observe::Metrics &metrics, std::function<void()> onStopped);
+    static Result<std::unique_ptr<ForwardTask>> start(event_base *loop, ForwardOptions options, observe::Metrics &metrics, std::function<void()> onStopped);
 
     /** Puts a version of the routes in force, unless a newer one is. */
     virtual void putRoutes(routing::RouteTable::Pointer table) = 0;
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -90,9 +90,11 @@
 } // namespace
 
 Forwarding::Forwarding(ForwardCore &core, AnswerSink &sink, CallerMessage request)
-    : core_(core), sink_(&sink), request_(std::move(request)), requestId_(request_.head.headers.value(core.options.protocol.requestId)), timer_(core.loop, [this] {
-          timerFired();
-      })
+    : core_(core)
+    , sink_(&sink)
+    , request_(std::move(request))
+    , requestId_(request_.head.headers.value(core.options.protocol.requestId))
+    , timer_(core.loop, [this] { timerFired(); })
 {
     core_.metrics.requests.add();
     core_.metrics.inProgress.add(1);
--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -119,9 +119,7 @@
 void ForwardTaskImpl::accepted(int fd)
 {
     http::tuneSocket(fd);
-    auto session = std::make_shared<CallerSession>(core_, http::Connection::adopt(core_.loop, fd), [this](CallerSession *ended) {
-        sessions_.erase(ended);
-    });
+    auto session = std::make_shared<CallerSession>(core_, http::Connection::adopt(core_.loop, fd), [this](CallerSession *ended) { sessions_.erase(ended); });
     CallerSession *started = session.get();
     sessions_.emplace(started, std::move(session));
     started->start();
@@ -247,8 +245,7 @@
 
 } // namespace
 
-Result<std::unique_ptr<ForwardTask>>
-ForwardTask::start(event_base *loop, ForwardOptions options, observe::Metrics &metrics, std::function<void()> onStopped)
+Result<std::unique_ptr<ForwardTask>> ForwardTask::start(event_base *loop, ForwardOptions options, observe::Metrics &metrics, std::function<void()> onStopped)
 {
     http::ignoreBrokenPipes();
     auto task = std::make_unique<ForwardTaskImpl>(loop, std::move(options), metrics, std::move(onStopped));
--- a/libs/forward/tests/forwardtest.cpp
+++ b/libs/forward/tests/forwardtest.cpp
@@ -28,7 +28,8 @@
 {
     putRoutes();
     RawPeer &endpoint = addEndpoint(always(wholeAnswer(200, "r1", "body", "X-Own: 1\r\nKeep-Alive: timeout=5\r\n")));
-    const std::string answer = answerTo(request("again", "GET", "X-Other: 2\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 3\r\nX-Organisation: forged\r\n"), "body");
+    const std::string answer =
+        answerTo(request("again", "GET", "X-Other: 2\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 3\r\nX-Organisation: forged\r\n"), "body");
     BOOST_TEST(answer.starts_with("HTTP/1.1 200 OK\r\n"));
     BOOST_TEST(has(answer, "X-Answer-Proof: p\r\n"));
     BOOST_TEST(has(answer, "X-Own: 1\r\n"));
@@ -129,11 +130,11 @@
 {
     putRoutes();
     addEndpoint([](int number) {
-        return number == 1 ? RawPeer::Answer{.bytes = "HTTP/1.1 200 OK\r\nConte", .then = Then::Reset} : RawPeer::Answer{.bytes = wholeAnswer(200, "r1", "body")};
-    });
-    addEndpoint([](int number) {
-        return number == 1 ? RawPeer::Answer{.bytes = "", .then = Then::Close} : RawPeer::Answer{.bytes = wholeAnswer(200, "r1", "body")};
+        return number == 1 ? RawPeer::Answer{.bytes = "HTTP/1.1 200 OK\r\nConte", .then = Then::Reset}
+                           : RawPeer::Answer{.bytes = wholeAnswer(200, "r1", "body")};
     });
+    addEndpoint(
+        [](int number) { return number == 1 ? RawPeer::Answer{.bytes = "", .then = Then::Close} : RawPeer::Answer{.bytes = wholeAnswer(200, "r1", "body")}; });
     const std::string answer = answerTo(request("again"), "}");
     BOOST_TEST(has(answer, "HTTP/1.1 502")); // Both failed once, and the route allows two.
     BOOST_TEST(sendings() == 2);
@@ -338,9 +339,7 @@
     const std::string half = streamHead("r1") + eventChunk(1) + eventChunk(2) + "20\r\nid: 3\ndata: ha";
     const std::string rest = streamHead("r1") + eventChunk(3) + eventChunk(4) + std::string(LastChunk);
     int number = 0;
-    const auto script = [&](int) {
-        return ++number == 1 ? RawPeer::Answer{.bytes = half, .then = Then::Reset} : RawPeer::Answer{.bytes = rest};
-    };
+    const auto script = [&](int) { return ++number == 1 ? RawPeer::Answer{.bytes = half, .then = Then::Reset} : RawPeer::Answer{.bytes = rest}; };
     addEndpoint(script);
     addEndpoint(script);
     const std::string answer = answerTo(request("stream", "POST", "Content-Length: 0\r\n"), "\r\n0\r\n\r\n");
--- a/libs/group/include/group/engineport.h
+++ b/libs/group/include/group/engineport.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -37,9 +38,13 @@
     virtual void order(const RankOrder &order, std::function<void(OrderOutcome)> done) = 0;
 };
 
+/** @return a port to the engine at an address, for a coordinator whose agent there has fallen silent. */
+using EngineDialer = std::function<std::unique_ptr<EnginePort>(const std::string &address)>;
+
 /** An engine of the service, as the platform's list shows it. */
 struct MemberAddress {
     std::string id; ///< Of the engine's run.
+    std::string engine; ///< "IP:PORT" of the engine itself.
     std::string agent; ///< "IP:PORT" where its agent takes links.
 };
 
--- a/libs/group/include/group/grouptask.h
+++ b/libs/group/include/group/grouptask.h
@@ -22,7 +22,7 @@
     wire::LinkOptions links{};
     Duration poll{100}; ///< Between two looks at the engine; free from its own instance.
     Duration switchPoll{30}; ///< The same while a change of map is in progress: each step of it waits for a report.
-    Duration patience{1000}; ///< Without a coordinator's word for so long another takes its place.
+    Duration patience{700}; ///< Without a coordinator's word for so long another takes its place.
     Duration demandHalfLife{200}; ///< Age at which a choice of an expert counts half.
     Duration planInterval{100}; ///< Between two looks for a better map.
     std::size_t placesPerRank = 0; ///< In each set; 0: read by the store's layout.
@@ -40,7 +40,7 @@
  * version is the term that commands carry. Lives on one event loop, all calls on its thread; the ports outlive it.
  *
  * @code
- * auto task = GroupTask::start(loop, options, engine, store, metrics);
+ * auto task = GroupTask::start(loop, options, engine, dialEngine, store, metrics);
  * @endcode
  */
 class GroupTask
@@ -49,7 +49,7 @@
     virtual ~GroupTask() = default;
 
     static Result<std::unique_ptr<GroupTask>>
-    start(event_base *loop, GroupOptions options, EnginePort &engine, GroupStore &store, observe::Metrics &metrics);
+    start(event_base *loop, GroupOptions options, EnginePort &engine, EngineDialer dialEngine, GroupStore &store, observe::Metrics &metrics);
 };
 
 } // namespace magnolia::group
--- a/libs/group/include/group/mapswitch.h
+++ b/libs/group/include/group/mapswitch.h
@@ -79,6 +79,12 @@
     /** @return orders to be given now. */
     std::vector<AddressedOrder> due(BootTime now);
 
+    /** The rank at which passes are held from now on. */
+    void setHolder(std::uint32_t rank)
+    {
+        usualHolder_ = rank;
+    }
+
     /** The map in use, in case a switch of a predecessor has to be undone. */
     void setCurrent(RankExperts current)
     {
@@ -138,7 +144,8 @@
     std::uint64_t undoVersion_ = 0;
     std::uint64_t step_ = 0; ///< S
     std::uint64_t lastUsedStep_ = 0; ///< Highest that was ever S, here or, as far as can be, under a predecessor.
-    std::uint32_t holder_ = 0;
+    std::uint32_t usualHolder_ = 0;
+    std::uint32_t holder_ = 0; ///< In the switch in progress.
     RankExperts map_;
     RankExperts current_;
 };
--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -15,12 +15,16 @@
 // While a switch is in progress orders have to be repeated soon; a tick costs little beside that.
 constexpr Duration SwitchTick{20};
 constexpr Duration IdleTick{100};
-constexpr Duration FollowInterval{400};
+// Well below the patience after which another takes over.
+constexpr Duration FollowInterval{200};
 
 // The list of members is read again, while a rank is missing, and otherwise now and then: the calls are priced.
 constexpr Duration MissingRefresh{1000};
 constexpr Duration UsualRefresh{15000};
 
+// An agent that was just dialled reports within some tens of milliseconds.
+constexpr Duration FirstReportTime{250};
+
 std::size_t copiesInTime(const GroupOptions &options)
 {
     const double copies = std::chrono::duration<double>(options.changeTime) / options.copyTime;
@@ -39,6 +43,7 @@
                          const GroupOptions &options,
                          std::string group,
                          std::uint64_t term,
+                         EngineDialer dialEngine,
                          GroupStore &store,
                          observe::Metrics &metrics,
                          Callbacks callbacks)
@@ -46,9 +51,11 @@
     , options_(options)
     , group_(std::move(group))
     , term_(term)
+    , dialEngine_(std::move(dialEngine))
     , store_(store)
     , callbacks_(std::move(callbacks))
     , switch_({.term = term})
+    , reach_(RankReach::Options{})
     , planner_({.placesPerRank = options.placesPerRank,
                 .mostNewPerSet = options.mostNewPerSet,
                 .mostNewPerRank = copiesInTime(options),
@@ -92,6 +99,8 @@
 void Coordinator::dialMember(const MemberAddress &member)
 {
     const std::string id = member.id;
+    members_[id].engineAddress = member.engine;
+    members_[id].dialledAt = BootClock::now();
     wire::LinkDialer::Callbacks callbacks;
     callbacks.onUp = [this, id](const wire::PeerInfo &) { members_[id].link->send(commandOf({.kind = RankOrderKind::Follow}, group_, term_)); };
     callbacks.onMessage = [this, id](wire::Message &&message) {
@@ -117,7 +126,11 @@
 
 void Coordinator::takeReport(const wire::RankReport &report)
 {
+    if (isOvertaken_) {
+        return;
+    }
     if (report.term > term_) {
+        isOvertaken_ = true;
         log()->info("Overtaken term={} by={}", term_, report.term);
         callbacks_.overtaken();
         return;
@@ -131,6 +144,10 @@
         log()->info("New epoch group={} epoch={} size={}", report.group, switch_.epoch(), switch_.size());
         heldEpoch_ = switch_.epoch();
         held_.clear();
+        reach_.reset(switch_.size());
+    }
+    if (report.epoch == heldEpoch_ && report.rank < switch_.size()) {
+        reach_.heard(report.rank, now);
     }
     if (!report.experts.empty() && report.epoch == heldEpoch_) {
         if (auto experts = decodeSetExperts(report.experts)) {
@@ -164,18 +181,100 @@
     }
 }
 
+bool Coordinator::isInSwitch() const
+{
+    const MapSwitch::Phase phase = switch_.phase();
+    return phase != MapSwitch::Phase::Unknown && phase != MapSwitch::Phase::Idle && phase != MapSwitch::Phase::Preparing;
+}
+
+/** Asks engines whose agents are silent: a held group must not wait for an agent. */
+void Coordinator::askSilent(BootTime now)
+{
+    const bool isNeeded = isInSwitch() || switch_.phase() == MapSwitch::Phase::Unknown;
+    if (!isNeeded || !reach_.mayAddress(now)) {
+        return;
+    }
+    for (const auto &[id, member] : members_) {
+        if (isUnheard(member, now) && !member.isEngineAsked) {
+            askEngine(id, now);
+        }
+    }
+}
+
+/** Its agent has been silent, or was never heard though there was time for it. */
+bool Coordinator::isUnheard(const Member &member, BootTime now) const
+{
+    return member.rank ? reach_.isSilent(*member.rank, now) : now - member.dialledAt > FirstReportTime;
+}
+
+void Coordinator::askEngine(const std::string &id, BootTime now)
+{
+    Member &member = members_[id];
+    if (member.engine == nullptr) {
+        log()->info("Agent silent, its engine is asked id={}", id);
+        member.engine = dialEngine_(member.engineAddress);
+    }
+    member.isEngineAsked = true;
+    member.engine->readState([this, id, now, alive = std::weak_ptr<bool>(alive_)](Result<RankState> state) {
+        if (alive.expired() || !members_.contains(id)) {
+            return;
+        }
+        members_[id].isEngineAsked = false;
+        if (state) {
+            takeEngineState(id, *state, now);
+        } else {
+            log()->info("Engine beside a silent agent does not answer id={} cause={}", id, state.error().detail);
+        }
+    });
+}
+
+void Coordinator::takeEngineState(const std::string &id, const RankState &state, BootTime askedAt)
+{
+    if (state.group != group_) {
+        strangers_.insert(id);
+        dropTimer_.start(Duration(0));
+        return;
+    }
+    const BootTime now = BootClock::now();
+    const bool isOfThis = state.epoch == heldEpoch_ && state.rank < switch_.size();
+    if (!isOfThis || !reach_.mayAddress(now)) {
+        return;
+    }
+    members_[id].rank = state.rank;
+    reach_.engineAsked(state.rank, askedAt);
+    const auto held = held_.find(state.rank);
+    if (held == held_.end() || held->second.version != state.map) {
+        askHeld(id, state.rank);
+    }
+    switch_.reported(state, now);
+}
+
+void Coordinator::askHeld(const std::string &id, std::uint32_t rank)
+{
+    members_[id].engine->readHeld([this, rank, alive = std::weak_ptr<bool>(alive_)](Result<HeldExperts> held) {
+        if (!alive.expired() && held && held->epoch == heldEpoch_) {
+            held_[rank] = {.version = held->version, .experts = std::move(held->experts)};
+        }
+    });
+}
+
 void Coordinator::tick()
 {
     const BootTime now = BootClock::now();
-    if (const auto current = currentMap()) {
+    askSilent(now);
+    const auto current = currentMap();
+    if (current) {
         switch_.setCurrent(*current);
-        for (const AddressedOrder &addressed : switch_.due(now)) {
+    }
+    for (const AddressedOrder &addressed : switch_.due(now)) {
+        const bool isRelease = addressed.order.kind == RankOrderKind::Release;
+        if (!isRelease || reach_.mayRelease(now)) {
             send(addressed.rank, addressed.order);
         }
-        if (switch_.isIdle() && now - plannedAt_ >= options_.planInterval) {
-            plannedAt_ = now;
-            plan();
-        }
+    }
+    if (current && switch_.isIdle() && now - plannedAt_ >= options_.planInterval) {
+        plannedAt_ = now;
+        plan();
     }
     if (switch_.phase() != loggedPhase_) {
         loggedPhase_ = switch_.phase();
@@ -206,8 +305,17 @@
         callbacks_.orderOwn(order);
         return true;
     }
+    const BootTime now = BootClock::now();
     for (const auto &[id, member] : members_) {
-        if (member.rank == rank && member.link->isUp()) {
+        if (member.rank != rank) {
+            continue;
+        }
+        if (isInSwitch() && member.engine != nullptr && reach_.isSilent(rank, now) && reach_.mayAddress(now)) {
+            log()->info("Order given past a silent agent rank={} kind={} version={} step={}", rank, toString(order.kind), order.version, order.step);
+            member.engine->order(order, [](OrderOutcome) {}); // What it did is read from the engine.
+            return true;
+        }
+        if (member.link->isUp()) {
             return member.link->send(commandOf(order, group_, term_));
         }
     }
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -4,6 +4,7 @@
 #include "group/engineport.h"
 #include "group/grouptask.h"
 #include "group/mapswitch.h"
+#include "group/rankreach.h"
 #include "group/replicaplanner.h"
 #include "groupcodec.h"
 #include "http/timer.h"
@@ -33,7 +34,14 @@
         std::function<void()> overtaken{}; ///< A higher term was heard of; may destroy this behind the callback.
     };
 
-    Coordinator(event_base *loop, const GroupOptions &options, std::string group, std::uint64_t term, GroupStore &store, observe::Metrics &metrics, Callbacks callbacks);
+    Coordinator(event_base *loop,
+                const GroupOptions &options,
+                std::string group,
+                std::uint64_t term,
+                EngineDialer dialEngine,
+                GroupStore &store,
+                observe::Metrics &metrics,
+                Callbacks callbacks);
     Coordinator(const Coordinator &) = delete;
     Coordinator &operator=(const Coordinator &) = delete;
 
@@ -41,12 +49,17 @@
     void setOwnRank(std::uint32_t rank)
     {
         ownRank_ = rank;
+        switch_.setHolder(rank); // One instance fewer whose loss can leave the group held.
     }
 
 private:
     struct Member {
         std::unique_ptr<wire::LinkDialer> link;
         std::optional<std::uint32_t> rank;
+        std::string engineAddress;
+        std::unique_ptr<EnginePort> engine; ///< Spoken to only while the agent is silent.
+        bool isEngineAsked = false; ///< An answer of the engine is awaited.
+        BootTime dialledAt;
     };
 
     struct Held {
@@ -59,6 +72,12 @@
     void dialMember(const MemberAddress &member);
     void takeMemberReport(const std::string &id, const wire::RankReport &report);
     void tick();
+    void askSilent(BootTime now);
+    bool isUnheard(const Member &member, BootTime now) const;
+    void askEngine(const std::string &id, BootTime now);
+    void takeEngineState(const std::string &id, const RankState &state, BootTime askedAt);
+    void askHeld(const std::string &id, std::uint32_t rank);
+    bool isInSwitch() const;
     void takeDemand(const wire::RankReport &report);
     void plan();
     void sendFollow();
@@ -70,15 +89,18 @@
     GroupOptions options_;
     std::string group_;
     std::uint64_t term_;
+    EngineDialer dialEngine_;
     GroupStore &store_;
     Callbacks callbacks_;
     MapSwitch switch_;
+    RankReach reach_;
     ReplicaPlanner planner_;
     std::optional<std::uint32_t> ownRank_;
     std::map<std::string, Member> members_; ///< By the id of their engine's run.
     std::set<std::string> strangers_; ///< Ids of engines of other groups.
     std::map<std::uint32_t, Held> held_; ///< By rank.
     std::uint64_t heldEpoch_ = 0;
+    bool isOvertaken_ = false;
     std::vector<double> demand_; ///< Decayed choices, set by set.
     BootTime demandAt_;
     BootTime plannedAt_;
--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -22,7 +22,7 @@
 constexpr double CountsPerSecond = 40'000;
 
 // Each agent waits a random part of this longer, so that not all ask the store at once.
-constexpr Duration PatienceSpread{600};
+constexpr Duration PatienceSpread{400};
 
 // After an order reports are looked for more often: a copy of an expert takes some tenths of a second, the rest less.
 constexpr Duration SwitchTime{1000};
@@ -36,10 +36,11 @@
 class GroupTaskImpl final : public GroupTask
 {
 public:
-    GroupTaskImpl(event_base *loop, GroupOptions options, EnginePort &engine, GroupStore &store, observe::Metrics &metrics)
+    GroupTaskImpl(event_base *loop, GroupOptions options, EnginePort &engine, EngineDialer dialEngine, GroupStore &store, observe::Metrics &metrics)
         : loop_(loop)
         , options_(std::move(options))
         , engine_(engine)
+        , dialEngine_(std::move(dialEngine))
         , store_(store)
         , metrics_(metrics)
         , random_(seededRandom())
@@ -82,6 +83,7 @@
     event_base *loop_;
     GroupOptions options_;
     EnginePort &engine_;
+    EngineDialer dialEngine_;
     GroupStore &store_;
     observe::Metrics &metrics_;
     Random random_;
@@ -264,17 +266,19 @@
 void GroupTaskImpl::carryOut(const RankOrder &order)
 {
     commandedAt_ = BootClock::now();
-    engine_.order(order, guarded<OrderOutcome>([this, kind = order.kind, version = order.version, step = order.step](OrderOutcome outcome) {
-        if (outcome != OrderOutcome::Accepted) {
-            log()->info("Order kind={} version={} step={} outcome={}", toString(kind), version, step, outcome == OrderOutcome::Conflict ? "conflict" : "unknown");
-        }
-        engine_.readState(guarded<Result<RankState>>([this](Result<RankState> state) {
-            if (state) {
-                state_ = *state;
-                publish();
+    engine_.order(
+        order, guarded<OrderOutcome>([this, kind = order.kind, version = order.version, step = order.step](OrderOutcome outcome) {
+            if (outcome != OrderOutcome::Accepted) {
+                log()->info(
+                    "Order kind={} version={} step={} outcome={}", toString(kind), version, step, outcome == OrderOutcome::Conflict ? "conflict" : "unknown");
             }
+            engine_.readState(guarded<Result<RankState>>([this](Result<RankState> state) {
+                if (state) {
+                    state_ = *state;
+                    publish();
+                }
+            }));
         }));
-    }));
 }
 
 void GroupTaskImpl::contendIfSilent()
@@ -287,13 +291,13 @@
     heardAt_ = now;
     drawPatience();
     store_.readCoordinator(state_->group, guarded<Result<CoordinatorRow>>([this](Result<CoordinatorRow> row) {
-        isContending_ = false;
-        if (row) {
-            takeRow(*row);
-        } else {
-            log()->warn("The coordinator's row can't be read cause={}", row.error().detail);
-        }
-    }));
+                               isContending_ = false;
+                               if (row) {
+                                   takeRow(*row);
+                               } else {
+                                   log()->warn("The coordinator's row can't be read cause={}", row.error().detail);
+                               }
+                           }));
 }
 
 void GroupTaskImpl::takeRow(const CoordinatorRow &row)
@@ -322,6 +326,7 @@
                                                  options_,
                                                  state_->group,
                                                  term,
+                                                 dialEngine_,
                                                  store_,
                                                  metrics_,
                                                  Coordinator::Callbacks{.orderOwn = [this](const RankOrder &order) { carryOut(order); },
@@ -336,9 +341,9 @@
 } // namespace
 
 Result<std::unique_ptr<GroupTask>>
-GroupTask::start(event_base *loop, GroupOptions options, EnginePort &engine, GroupStore &store, observe::Metrics &metrics)
+GroupTask::start(event_base *loop, GroupOptions options, EnginePort &engine, EngineDialer dialEngine, GroupStore &store, observe::Metrics &metrics)
 {
-    auto task = std::make_unique<GroupTaskImpl>(loop, std::move(options), engine, store, metrics);
+    auto task = std::make_unique<GroupTaskImpl>(loop, std::move(options), engine, std::move(dialEngine), store, metrics);
     if (const auto listening = task->listen(); !listening) {
         return tl::unexpected(listening.error());
     }
--- a/libs/group/src/mapswitch.cpp
+++ b/libs/group/src/mapswitch.cpp
@@ -191,7 +191,7 @@
     case Phase::Preparing:
         if (all([this](const RankState &state) { return state.prepared == version_; })) {
             step_ = nextStep(options_.stepsAhead);
-            holder_ = 0;
+            holder_ = usualHolder_ < ranks_.size() ? usualHolder_ : 0;
             enter(Phase::Holding, now);
         }
         break;
@@ -286,7 +286,7 @@
         case Phase::Undoing:
             if (state.armed) {
                 give(orders, rank, {.kind = RankOrderKind::Disarm, .version = state.armed->version}, now);
-            } else if (state.prepared != undoVersion_) {
+            } else if (state.prepared != undoVersion_ && !current_.empty()) {
                 give(orders, rank, {.kind = RankOrderKind::Prepare, .version = undoVersion_, .map = current_}, now);
             }
             break;
--- a/libs/observe/tests/pipesinktest.cpp
+++ b/libs/observe/tests/pipesinktest.cpp
@@ -1,5 +1,5 @@
-#include "observe/log.h"
 #include "observe/pipesink.h"
+#include "observe/log.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
--- a/libs/settings/include/settings/sections.h
+++ b/libs/settings/include/settings/sections.h
@@ -85,8 +85,8 @@
     Duration timeout{2000}; ///< For one call to one daemon.
 };
 
-/** [readiness]: where the platform's balancer asks whether this instance takes callers. */
-struct ReadinessSettings {
+/** [callers] and [readiness] of an entry that passes requests on: where it listens, and where the balancer asks. */
+struct ListenSettings {
     std::string address; ///< "IP:PORT"
 };
 
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -41,8 +41,8 @@
 /** Settings of an entry that passes requests on by the operators' routes. */
 struct ForwardSettings {
     InstanceSettings instance;
-    CallersSettings callers;
-    ReadinessSettings readiness;
+    ListenSettings callers;
+    ListenSettings readiness;
     StoreSettings store;
     KeysSettings keys;
     RetriesSettings retries;
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -132,7 +132,7 @@
     reader.readDuration("silence_timeout_ms", out.silenceTimeout, {.least = 100, .most = 10 * Minute});
 }
 
-void readSection(TableReader &reader, ReadinessSettings &out)
+void readSection(TableReader &reader, ListenSettings &out)
 {
     reader.readAddress("address", out.address, AddressUse::Listen, Presence::Required);
 }
--- a/libs/settings/tests/settingstest.cpp
+++ b/libs/settings/tests/settingstest.cpp
@@ -129,6 +129,49 @@
     BOOST_TEST((settings->log.level == spdlog::level::warn));
 }
 
+BOOST_AUTO_TEST_CASE(forwardExample_loaded_isComplete)
+{
+    const auto settings = load<ForwardSettings>(Examples + "/forward.toml");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->callers.address == "127.0.0.1:8080");
+    BOOST_TEST(settings->readiness.address == "127.0.0.1:8081");
+    BOOST_TEST(settings->keys.revocationBound.count() == 5000);
+    BOOST_TEST(settings->keys.failClosed);
+    BOOST_TEST(settings->retries.share == 0.2);
+    BOOST_TEST(settings->retries.window.count() == 10000);
+    BOOST_TEST(settings->grace.time.count() == 8000);
+}
+
+BOOST_AUTO_TEST_CASE(groupExample_loaded_isComplete)
+{
+    const auto settings = load<GroupSettings>(Examples + "/group.toml");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->engine.service == "changeover");
+    const wire::LinkOptions options = linkOptions(*settings);
+    BOOST_TEST((options.self.role == wire::Role::Agent));
+    BOOST_TEST(options.keys.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(forwardSettings_badValues_areTold)
+{
+    const std::string good = "[instance]\nname='e'\ndata_centre='n'\n[callers]\naddress='127.0.0.1:0'\n[readiness]\naddress='127.0.0.1:0'\n"
+                             "[store]\naddress='127.0.0.1:1'\n";
+    BOOST_TEST(parse<ForwardSettings>(good, "f.toml").has_value());
+    const std::vector<std::pair<std::string, std::string>> bad{
+        {"[keys]\nfail_closed=1\n", "f.toml:11:13: 'keys.fail_closed' must be true or false"},
+        {"[keys]\nrevocation_bound_ms=1\n", "f.toml:11:21: 'keys.revocation_bound_ms' must be a whole number from 500 to 3600000 milliseconds"},
+        {"[retries]\nshare=nan\n", "f.toml:11:7: 'retries.share' must be a number from 0 to 10"},
+        {"[retries]\nwindow_s='10'\n", "f.toml:11:10: 'retries.window_s' must be a number from 0.1 to 3600"},
+        {"[grace]\ntime_s=0\n", "f.toml:11:8: 'grace.time_s' must be a number from 0.5 to 3600"},
+        {"[store2]\n", "f.toml:10:2: unknown key 'store2'"},
+    };
+    for (const auto &[section, expected] : bad) {
+        const auto settings = parse<ForwardSettings>(good + section, "f.toml");
+        BOOST_REQUIRE(!settings.has_value());
+        BOOST_TEST(toString(settings.error().front()).substr(0, expected.size()) == expected);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(optionalKeys_leftOut_haveTheirDefaults)
 {
     text = "[instance]\nname='e'\ndata_centre='n'\n[callers]\naddress='[::1]:0'\n[operators]\naddress='127.0.0.1:0'\nkey='0123456789abcdef'\n"
--- a/libs/store/tests/platformclientstest.cpp
+++ b/libs/store/tests/platformclientstest.cpp
@@ -1,10 +1,10 @@
 #include "http/eventhandles.h"
 #include "http/httpserver.h"
+#include "platformservice.h"
+#include "relay.h"
 #include "store/httpinstances.h"
 #include "store/httpobjects.h"
 #include "store/httptable.h"
-#include "platformservice.h"
-#include "relay.h"
 
 #include <boost/test/unit_test.hpp>
 
