--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -308,7 +308,7 @@
         core_.metrics.retriesDenied.add();
         return false;
     }
-    core_.log.sendingEnded(requestId_, tried_.back(), cause, incoming_.head.status, "retry");
+    core_.log.sendingEnded(requestId_, tried_.back(), cause, incoming_.head.status, incoming_.head.headers.value(core_.options.protocol.endpointAtFault), "retry");
     core_.metrics.retries.add();
     hasRetried_ = true;
     if (isStreaming_) {
@@ -410,7 +410,7 @@
         endpoint_->avoidUntil = std::max(endpoint_->avoidUntil, BootClock::now() + ConnectTimeout);
         const bool mayDialAgain = sendings_ <= core_.endpoints.ofService(service_).size();
         if (mayDialAgain && left().count() > 0) {
-            core_.log.sendingEnded(requestId_, endpoint_->record.id, toString(end), 0, "dial another");
+            core_.log.sendingEnded(requestId_, endpoint_->record.id, toString(end), 0, {}, "dial another");
             sendNext();
             return;
         }
@@ -553,7 +553,7 @@
     if ((isSilentStream || isSlow) && couldMove && core_.allowanceOf(service_).tryRetry(now)) {
         core_.connections.closeAll(endpoint_->record.id);
         mayHaveRun_ = true;
-        core_.log.sendingEnded(requestId_, endpoint_->record.id, "silent", 0, "retry");
+        core_.log.sendingEnded(requestId_, endpoint_->record.id, "silent", 0, {}, "retry");
         core_.metrics.retries.add();
         hasRetried_ = true;
         endCall(EndpointSign::Failed);
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -47,12 +47,17 @@
                 milliseconds(record.proofAge));
 }
 
-void RequestLog::sendingEnded(std::string_view requestId, std::string_view endpoint, std::string_view end, int status, std::string_view decision)
+void RequestLog::sendingEnded(std::string_view requestId,
+                              std::string_view endpoint,
+                              std::string_view end,
+                              int status,
+                              std::string_view atFault,
+                              std::string_view decision)
 {
     if (!mayWrite()) {
         return;
     }
-    log()->info("Sending failed id={} endpoint={} end={} status={} decision={}", requestId, endpoint, end, status, decision);
+    log()->info("Sending failed id={} endpoint={} end={} status={} at_fault={} decision={}", requestId, endpoint, end, status, atFault, decision);
 }
 
 bool RequestLog::mayWrite()
--- a/libs/forward/src/requestlog.h
+++ b/libs/forward/src/requestlog.h
@@ -40,7 +40,8 @@
     void write(const RequestRecord &record);
 
     /** One sending that did not end with an answer passed on. */
-    void sendingEnded(std::string_view requestId, std::string_view endpoint, std::string_view end, int status, std::string_view decision);
+    void
+    sendingEnded(std::string_view requestId, std::string_view endpoint, std::string_view end, int status, std::string_view atFault, std::string_view decision);
 
 private:
     bool mayWrite();
