--- a/libs/forward/src/forwardcore.h
+++ b/libs/forward/src/forwardcore.h
@@ -5,6 +5,7 @@
 #include "endpointconnections.h"
 #include "forward/forwardtask.h"
 #include "forwardmetrics.h"
+#include "http/timer.h"
 #include "requestlog.h"
 
 #include <functional>
@@ -28,6 +29,7 @@
         , connections(eventLoop)
         , random(seededRandom())
         , metrics(metricsRegistry)
+        , newsTimer(eventLoop, [this] { tellNews(); })
     {
     }
 
@@ -45,6 +47,12 @@
         }
     }
 
+    /** The same on the loop's next turn, from within a call of one of them. */
+    void tellNewsSoon()
+    {
+        newsTimer.start(Duration(0));
+    }
+
     routing::RetryAllowance &allowanceOf(std::string_view service)
     {
         const auto found = allowances.find(service);
@@ -67,6 +75,7 @@
     bool isStopping = false;
     BootTime startedAt = BootClock::now();
     std::vector<std::function<void()>> waiters; ///< For the next news.
+    http::Timer newsTimer;
 };
 
 } // namespace magnolia::forward
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -146,14 +146,42 @@
     if (!core_.isStarting(now) || now >= waitUntil_) {
         return false;
     }
+    beginWaiting(waitUntil_);
+    return true;
+}
+
+/** Waits until the endpoint's group may be tried again. @return false if the time for it is over. */
+bool Forwarding::waitForGroup(const routing::Endpoint &endpoint)
+{
+    if (isStreaming_ || BootClock::now() >= waitUntil_) {
+        return false;
+    }
+    beginWaiting(std::min(waitUntil_, endpoint.refusesUntil));
+    return true;
+}
+
+void Forwarding::beginWaiting(BootTime until)
+{
     isWaiting_ = true;
-    core_.waiters.push_back([waiting = weak_from_this()] {
-        if (const auto self = waiting.lock(); self != nullptr && std::exchange(self->isWaiting_, false)) {
-            self->route_ == nullptr || self->service_.empty() ? self->admit() : self->sendNext();
-        }
-    });
+    waitingEnds_ = until;
+    if (!std::exchange(isRegistered_, true)) {
+        core_.waiters.push_back([waiting = weak_from_this()] {
+            if (const auto self = waiting.lock()) {
+                self->isRegistered_ = false;
+                self->endWaiting();
+            }
+        });
+    }
     startTimer();
-    return true;
+}
+
+void Forwarding::endWaiting()
+{
+    if (!std::exchange(isWaiting_, false)) {
+        return;
+    }
+    const bool isAdmitted = route_ != nullptr && !service_.empty();
+    isAdmitted ? sendNext() : admit();
 }
 
 bool Forwarding::findRoute()
@@ -211,8 +239,17 @@
         return;
     }
     const BootTime now = BootClock::now();
-    const routing::EndpointPointer endpoint = core_.endpoints.choose({.service = service_, .tried = tried_}, now, core_.random);
+    const routing::EndpointPointer endpoint = nextEndpoint();
+    if (endpoint != nullptr && now < endpoint->refusesUntil && waitForGroup(*endpoint)) {
+        return;
+    }
+    if (endpoint != nullptr && isResending_ && !core_.allowanceOf(service_).tryRetry(now)) {
+        core_.metrics.retriesDenied.add();
+        refuse(StatusUnavailable, RetryAfterUnavailable, "its group does not run, and the retry budget is used up");
+        return;
+    }
     if (endpoint != nullptr) {
+        isResending_ = false;
         send(endpoint);
         return;
     }
@@ -230,8 +267,22 @@
     }
 }
 
+/** @return null if there is none. Never one more endpoint than the route allows. */
+routing::EndpointPointer Forwarding::nextEndpoint() const
+{
+    if (isResending_ && sentTo_.size() >= route_->maxEndpoints) {
+        const routing::EndpointPointer last = core_.endpoints.find(sentTo_.back());
+        return last != nullptr && last->takesWork() ? last : nullptr;
+    }
+    return core_.endpoints.choose({.service = service_, .tried = tried_}, BootClock::now(), core_.random);
+}
+
 void Forwarding::send(const routing::EndpointPointer &endpoint)
 {
+    core_.endpoints.sendingTo(*endpoint, BootClock::now());
+    if (std::find(sentTo_.begin(), sentTo_.end(), endpoint->record.id) == sentTo_.end()) {
+        sentTo_.push_back(endpoint->record.id);
+    }
     endpoint_ = endpoint;
     sentAt_ = BootClock::now();
     heardAt_ = sentAt_;
@@ -308,7 +359,8 @@
         core_.metrics.retriesDenied.add();
         return false;
     }
-    core_.log.sendingEnded(requestId_, tried_.back(), cause, incoming_.head.status, incoming_.head.headers.value(core_.options.protocol.endpointAtFault), "retry");
+    core_.log.sendingEnded(
+        requestId_, tried_.back(), cause, incoming_.head.status, incoming_.head.headers.value(core_.options.protocol.endpointAtFault), "retry");
     core_.metrics.retries.add();
     hasRetried_ = true;
     if (isStreaming_) {
@@ -329,6 +381,9 @@
         }
     }
     incoming_.head = head;
+    if (isSuccess(head.status) && core_.endpoints.groupAnswered(*endpoint_)) {
+        core_.tellNewsSoon();
+    }
     const bool isEvents = head.headers.value("content-type").starts_with(EventStream);
     isStreamAnswer_ = route_->kind == RouteKind::Stream && isSuccess(head.status) && isEvents;
     if (isStreamAnswer_) {
@@ -436,7 +491,18 @@
     const bool isNotRun = status == StatusMisdirected || incoming_.head.headers.find(protocol.notRun) != nullptr;
     if (isNotRun) {
         // The expected instance is not at that address any more, or the endpoint has no room.
+        const std::string atFault(incoming_.head.headers.value(protocol.endpointAtFault));
+        const bool isForPeer = status == StatusUnavailable && !atFault.empty() && atFault != endpoint_->record.address;
         endCall(status == StatusMisdirected ? EndpointSign::Unreachable : EndpointSign::Refused);
+        if (isForPeer) {
+            core_.endpoints.refusedForPeer(*endpoint_, atFault, BootClock::now());
+        }
+        if (isForPeer && !mayHaveRun_ && waitForGroup(*endpoint_)) {
+            core_.log.sendingEnded(requestId_, endpoint_->record.id, "not-run", status, atFault, "wait for its group");
+            tried_.pop_back(); // It may be tried again, and does not count twice against the route's bound.
+            isResending_ = true;
+            return;
+        }
         if (retry("not-run")) {
             return;
         }
@@ -513,7 +579,7 @@
 void Forwarding::startTimer()
 {
     const BootTime now = BootClock::now();
-    BootTime next = isWaiting_ ? std::min(deadline_, waitUntil_) : deadline_;
+    BootTime next = isWaiting_ ? std::min(deadline_, waitingEnds_) : deadline_;
     if (call_ != nullptr) {
         if (!call_->isConnected()) {
             next = std::min(next, sentAt_ + ConnectTimeout);
@@ -535,12 +601,12 @@
         giveUp();
         return;
     }
-    if (isWaiting_ && now >= waitUntil_) {
-        isWaiting_ = false;
-        route_ == nullptr || service_.empty() ? admit() : sendNext(); // Refuses, unless there is news.
+    if (isWaiting_ && now >= waitingEnds_) {
+        endWaiting();
         return;
     }
     if (call_ == nullptr) {
+        startTimer(); // Timers may fire a little early.
         return;
     }
     if (!call_->isConnected() && now >= sentAt_ + ConnectTimeout) {
@@ -646,6 +712,7 @@
 void Forwarding::finish(std::string_view outcome, int status, std::string_view cause)
 {
     sink_ = nullptr;
+    isWaiting_ = false;
     timer_.stop();
     const BootTime now = BootClock::now();
     core_.metrics.whole.record(now - request_.receivedAt);
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -49,6 +49,10 @@
     // Admission.
     void admit();
     bool waitForNews();
+    bool waitForGroup(const routing::Endpoint &endpoint);
+    void beginWaiting(BootTime until);
+    void endWaiting();
+    routing::EndpointPointer nextEndpoint() const;
     bool findRoute();
     bool findOrganisation();
     void setDeadline();
@@ -93,12 +97,16 @@
     BootTime deadline_; ///< The final answer is due by then.
     BootTime waitUntil_; ///< News of routes and endpoints is waited for no longer.
     bool isWaiting_ = false;
+    bool isRegistered_ = false; ///< Among those who wait for the next news.
+    BootTime waitingEnds_; ///< It is tried again then at the latest.
     http::Timer timer_;
 
-    std::vector<std::string> tried_; ///< Ids of endpoints.
+    std::vector<std::string> tried_; ///< Ids of endpoints that are not to be tried again.
+    std::vector<std::string> sentTo_; ///< Ids of all endpoints that it was sent to.
     std::uint32_t sendings_ = 0;
     bool mayHaveRun_ = false;
     bool hasRetried_ = false;
+    bool isResending_ = false; ///< The next sending has to be within the retry budget.
     std::shared_ptr<EndpointCall> call_;
     routing::EndpointPointer endpoint_; ///< Of the call in progress.
     BootTime sentAt_;
--- a/libs/forward/tests/forwardtest.cpp
+++ b/libs/forward/tests/forwardtest.cpp
@@ -113,6 +113,29 @@
     BOOST_TEST(sendings() == 2); // As many endpoints as the route allows.
 }
 
+BOOST_AUTO_TEST_CASE(endpoint_refusesForAPeer_callerWaitsForTheGroup)
+{
+    putRoutes();
+    const std::string refusal = "HTTP/1.1 503 X\r\nX-Request-Id: r1\r\nX-Not-Run: 1\r\nX-At-Fault: 10.9.9.9:1\r\nContent-Length: 0\r\n\r\n";
+    RawPeer &endpoint = addEndpoint([&refusal](int number) { return RawPeer::Answer{.bytes = number == 1 ? refusal : wholeAnswer(200, "r1", "body")}; });
+    const BootTime begun = BootClock::now();
+    BOOST_TEST(has(answerTo(request("once", "POST", "Content-Length: 0\r\n"), "body"), "HTTP/1.1 200"));
+    BOOST_TEST((BootClock::now() - begun >= Duration(150)));
+    BOOST_TEST(endpoint.requests() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(group_staysAway_callerIsRefusedInTimeToComeBack)
+{
+    putRoutes();
+    addEndpoint(always("HTTP/1.1 503 X\r\nX-Request-Id: r1\r\nX-Not-Run: 1\r\nX-At-Fault: 10.9.9.9:1\r\nContent-Length: 0\r\n\r\n"));
+    const BootTime begun = BootClock::now();
+    const std::string answer = answerTo(request("once", "POST", "Content-Length: 0\r\n"), "}");
+    BOOST_TEST(has(answer, "HTTP/1.1 503"));
+    BOOST_TEST(has(answer, "Retry-After: "));
+    BOOST_TEST((BootClock::now() - begun < Duration(1300))); // A third of what the caller allows, and a margin.
+    BOOST_TEST(sendings() <= 8);
+}
+
 BOOST_AUTO_TEST_CASE(requestAtMostOnce_connectionCutUnderIt_isNotSentAgain)
 {
     // Symptom: a booking was made twice. Sequence: an endpoint ran it and its answer was lost; the request was sent to
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -43,6 +43,8 @@
     BootTime reportedAt;
     std::uint32_t failures = 0; ///< In a row.
     BootTime avoidUntil; ///< Taken before that only if there is no other.
+    std::uint32_t group = 0; ///< Endpoints that were seen to refuse for one another's sake; 0: none seen.
+    BootTime refusesUntil; ///< Its group does not run; the epoch if it does as far as is known.
 
     bool takesWork() const
     {
@@ -66,7 +68,8 @@
  * Chooses the one with the least expected load for each slot: the entry's own requests there, which are exact, plus what
  * others had there by its latest report, which counts less as it ages. An endpoint that failed is avoided for a time that
  * grows with each failure in a row, and is then tried by one request after the other; nothing is asked of it besides, as
- * health checks cost its slots. Lives as long as its entry's task. Not thread-safe.
+ * health checks cost its slots. Engines of a group fail together: which they are is learnt from refusals that name another
+ * endpoint as the cause, and a group that refused is tried by one request at a time until one is answered. Lives as long as its entry's task. Not thread-safe.
  *
  * @code
  * table.put(record);
@@ -103,6 +106,15 @@
         return byId_.size();
     }
 
+    /** An endpoint refused a request since another of its group fails: the whole group does. */
+    void refusedForPeer(Endpoint &endpoint, std::string_view peerAddress, BootTime now);
+
+    /** A request is sent there; if its group is in doubt, the others wait for what becomes of this one. */
+    void sendingTo(Endpoint &endpoint, BootTime now);
+
+    /** It answered a request, so its group runs. @return true if that was in doubt. */
+    bool groupAnswered(Endpoint &endpoint);
+
     static void reported(Endpoint &endpoint, const LoadReport &load, BootTime now);
     static void signSeen(Endpoint &endpoint, EndpointSign sign, BootTime now);
 
@@ -111,10 +123,13 @@
 
 private:
     double cost(const Endpoint &endpoint, BootTime now) const;
+    void joinGroups(Endpoint &one, Endpoint &other);
+    void markGroup(Endpoint &endpoint, BootTime until);
 
     Options options_;
     TextMap<EndpointPointer> byId_;
     TextMap<std::vector<EndpointPointer>> byService_;
+    std::uint32_t lastGroup_ = 0;
 };
 
 } // namespace magnolia::routing
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -28,6 +28,10 @@
 // Sent as often as equals by the random part, so that entries with the same reports don't all choose the same endpoint.
 constexpr double RandomPart = 0.05;
 
+// A group forms again some 600 ms after its last rank is back: asked for every 200 ms it is found soon, at the price of one
+// refused request for each entry and time.
+constexpr Duration GroupPause{200};
+
 double seconds(BootClock::duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -92,7 +96,7 @@
         if (isTried || !endpoint->takesWork()) {
             continue;
         }
-        const bool isAvoided = now < endpoint->avoidUntil;
+        const bool isAvoided = now < std::max(endpoint->avoidUntil, endpoint->refusesUntil);
         const double itsCost = cost(*endpoint, now) + drawn(random);
         const bool isBetter = best == nullptr || (isBestAvoided && !isAvoided) || (isBestAvoided == isAvoided && itsCost < bestCost);
         if (isBetter) {
@@ -104,6 +108,60 @@
     return best;
 }
 
+void EndpointTable::refusedForPeer(Endpoint &endpoint, std::string_view peerAddress, BootTime now)
+{
+    for (const EndpointPointer &peer : ofService(endpoint.record.service)) {
+        if (peer->record.address == peerAddress && peer.get() != &endpoint) {
+            joinGroups(endpoint, *peer);
+        }
+    }
+    markGroup(endpoint, now + GroupPause);
+}
+
+void EndpointTable::sendingTo(Endpoint &endpoint, BootTime now)
+{
+    if (endpoint.refusesUntil != BootTime()) {
+        markGroup(endpoint, now + GroupPause);
+    }
+}
+
+bool EndpointTable::groupAnswered(Endpoint &endpoint)
+{
+    if (endpoint.refusesUntil == BootTime()) {
+        return false;
+    }
+    markGroup(endpoint, BootTime());
+    return true;
+}
+
+void EndpointTable::joinGroups(Endpoint &one, Endpoint &other)
+{
+    if (one.group != 0 && one.group == other.group) {
+        return;
+    }
+    const std::uint32_t joined = ++lastGroup_;
+    const std::uint32_t first = one.group;
+    const std::uint32_t second = other.group;
+    for (const EndpointPointer &endpoint : ofService(one.record.service)) {
+        const bool isOfEither = endpoint->group != 0 && (endpoint->group == first || endpoint->group == second);
+        if (isOfEither) {
+            endpoint->group = joined;
+        }
+    }
+    one.group = joined;
+    other.group = joined;
+}
+
+void EndpointTable::markGroup(Endpoint &endpoint, BootTime until)
+{
+    endpoint.refusesUntil = until;
+    for (const EndpointPointer &peer : ofService(endpoint.record.service)) {
+        if (endpoint.group != 0 && peer->group == endpoint.group) {
+            peer->refusesUntil = until;
+        }
+    }
+}
+
 void EndpointTable::reported(Endpoint &endpoint, const LoadReport &load, BootTime now)
 {
     endpoint.load = load;
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -109,6 +109,25 @@
     BOOST_TEST(!choices(50).contains("none"));
 }
 
+BOOST_AUTO_TEST_CASE(endpoint_refusesForAPeer_wholeGroupIsPassedOverUntilOneAnswers)
+{
+    // Symptom: callers were refused by an entry that was otherwise well. Sequence: a group of engines formed anew after all
+    // power was lost, and every rank refused meanwhile. Cause: each request tried two ranks of the same group and gave up.
+    for (const char *id : {"a", "b", "c"}) {
+        table.put({.id = id, .service = "s", .address = std::string(id) + ":80", .dataCentre = "north", .slots = 4});
+    }
+    table.refusedForPeer(*table.find("a"), "b:80", Now);
+    BOOST_TEST(choices(50)["c"] == 50); // Of another group as far as is known.
+    table.refusedForPeer(*table.find("c"), "b:80", Now);
+    const auto endpoint = table.choose({.service = "s"}, Now, random);
+    BOOST_TEST((endpoint->refusesUntil > Now));
+    table.sendingTo(*endpoint, Now + 1s);
+    BOOST_TEST((table.find("a")->refusesUntil > Now + 1s)); // One is tried, the others wait.
+    BOOST_TEST(table.groupAnswered(*table.find("c")));
+    BOOST_TEST(!table.groupAnswered(*table.find("a")));
+    BOOST_TEST((table.find("b")->refusesUntil == BootTime()));
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_leavingOrGone_isNeverTaken)
 {
     table.put({.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .isLeaving = true});
