forward: callers wait for a group of engines that forms, instead of being refused

Cause: after all power was lost every rank refused for about a second while its group formed; each request tried two ranks and was refused, and its caller had no retry left. Ruled out: polling the group by sending again every 200 ms: the shared retry budget was used up by it; what was refused waits until a new request has been served.

--- a/libs/forward/src/forwardcore.h
+++ b/libs/forward/src/forwardcore.h
@@ -47,6 +47,20 @@
         }
     }
 
+    /** An endpoint of the service began a good answer: whoever waits for its group may try again. */
+    void served(std::string_view service)
+    {
+        const auto found = servedAt.find(service);
+        if (found == servedAt.end()) {
+            servedAt.emplace(service, BootClock::now());
+        } else {
+            found->second = BootClock::now();
+        }
+        if (!waiters.empty()) {
+            tellNewsSoon();
+        }
+    }
+
     /** The same on the loop's next turn, from within a call of one of them. */
     void tellNewsSoon()
     {
@@ -68,6 +82,7 @@
     routing::EndpointTable endpoints;
     routing::RoutingProof proof;
     routing::TextMap<routing::RetryAllowance> allowances; ///< By service.
+    routing::TextMap<BootTime> servedAt; ///< By service: when an endpoint last began a good answer.
     EndpointConnections connections;
     Random random;
     ForwardMetrics metrics;
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -156,10 +156,17 @@
     if (isStreaming_ || BootClock::now() >= waitUntil_) {
         return false;
     }
-    beginWaiting(std::min(waitUntil_, endpoint.refusesUntil));
+    // What was refused once costs the retry budget: it waits until a new request has shown that the group runs again.
+    beginWaiting(isResending_ ? waitUntil_ : std::min(waitUntil_, endpoint.refusesUntil));
     return true;
 }
 
+bool Forwarding::isGroupBack() const
+{
+    const auto served = core_.servedAt.find(service_);
+    return served != core_.servedAt.end() && served->second > refusedAt_;
+}
+
 void Forwarding::beginWaiting(BootTime until)
 {
     isWaiting_ = true;
@@ -180,6 +187,10 @@
     if (!std::exchange(isWaiting_, false)) {
         return;
     }
+    if (isResending_ && !isGroupBack() && BootClock::now() < waitingEnds_) {
+        beginWaiting(waitingEnds_);
+        return;
+    }
     const bool isAdmitted = route_ != nullptr && !service_.empty();
     isAdmitted ? sendNext() : admit();
 }
@@ -381,8 +392,9 @@
         }
     }
     incoming_.head = head;
-    if (isSuccess(head.status) && core_.endpoints.groupAnswered(*endpoint_)) {
-        core_.tellNewsSoon();
+    if (isSuccess(head.status)) {
+        core_.endpoints.groupAnswered(*endpoint_);
+        core_.served(service_);
     }
     const bool isEvents = head.headers.value("content-type").starts_with(EventStream);
     isStreamAnswer_ = route_->kind == RouteKind::Stream && isSuccess(head.status) && isEvents;
@@ -492,15 +504,23 @@
     if (isNotRun) {
         // The expected instance is not at that address any more, or the endpoint has no room.
         const std::string atFault(incoming_.head.headers.value(protocol.endpointAtFault));
-        const bool isForPeer = status == StatusUnavailable && !atFault.empty() && atFault != endpoint_->record.address;
+        const bool isNamedPeer = !atFault.empty() && atFault != endpoint_->record.address;
+        // One that refuses though it has room can't run at all just now, e.g. since its group is forming.
+        const bool hasRoom = endpoint_->load.running + endpoint_->load.waiting < endpoint_->record.slots && endpoint_->reportedAt == heardAt_;
+        const bool isForPeer = status == StatusUnavailable && (isNamedPeer || hasRoom);
         endCall(status == StatusMisdirected ? EndpointSign::Unreachable : EndpointSign::Refused);
         if (isForPeer) {
             core_.endpoints.refusedForPeer(*endpoint_, atFault, BootClock::now());
         }
-        if (isForPeer && !mayHaveRun_ && waitForGroup(*endpoint_)) {
-            core_.log.sendingEnded(requestId_, endpoint_->record.id, "not-run", status, atFault, "wait for its group");
-            tried_.pop_back(); // It may be tried again, and does not count twice against the route's bound.
+        if (isForPeer && !mayHaveRun_ && !isStreaming_) {
             isResending_ = true;
+            refusedAt_ = BootClock::now();
+            tried_.pop_back(); // It may be tried again, and does not count twice against the route's bound.
+            if (waitForGroup(*endpoint_)) {
+                core_.log.sendingEnded(requestId_, endpoint_->record.id, "not-run", status, atFault, "wait for its group");
+                return;
+            }
+            refuse(StatusUnavailable, RetryAfterUnavailable, "its group does not run");
             return;
         }
         if (retry("not-run")) {
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -52,6 +52,7 @@
     bool waitForGroup(const routing::Endpoint &endpoint);
     void beginWaiting(BootTime until);
     void endWaiting();
+    bool isGroupBack() const;
     routing::EndpointPointer nextEndpoint() const;
     bool findRoute();
     bool findOrganisation();
@@ -107,6 +108,7 @@
     bool mayHaveRun_ = false;
     bool hasRetried_ = false;
     bool isResending_ = false; ///< The next sending has to be within the retry budget.
+    BootTime refusedAt_; ///< When an endpoint last refused it for its group's sake.
     std::shared_ptr<EndpointCall> call_;
     routing::EndpointPointer endpoint_; ///< Of the call in progress.
     BootTime sentAt_;
