group: reports list experts when they changed, passes alone are no news, even maps are not searched

Cause: a coordinator of 24 ranks and 16 sets used two thirds of its processor share, and changes of map came late. Ruled out: links as such: heartbeats are a few percent of the messages.

--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -22,6 +22,10 @@
 constexpr Duration MissingRefresh{1000};
 constexpr Duration UsualRefresh{15000};
 
+// A map is not looked at further while the most loaded ranks have at most this part of an even spread: no change could
+// then save the least gain, and the search is the dearest thing that a coordinator does.
+constexpr double EvenEnough = 1.06;
+
 // An agent that was just dialled reports within some tens of milliseconds.
 constexpr Duration FirstReportTime{250};
 
@@ -144,6 +148,7 @@
         log()->info("New epoch group={} epoch={} size={}", report.group, switch_.epoch(), switch_.size());
         heldEpoch_ = switch_.epoch();
         held_.clear();
+        isMapOld_ = true;
         reach_.reset(switch_.size());
     }
     if (report.epoch == heldEpoch_ && report.rank < switch_.size()) {
@@ -152,6 +157,7 @@
     if (!report.experts.empty() && report.epoch == heldEpoch_) {
         if (auto experts = decodeSetExperts(report.experts)) {
             held_[report.rank] = {.version = report.expertsVersion, .experts = std::move(*experts)};
+            isMapOld_ = true;
         }
     }
     takeDemand(report);
@@ -254,6 +260,7 @@
     members_[id].engine->readHeld([this, rank, alive = std::weak_ptr<bool>(alive_)](Result<HeldExperts> held) {
         if (!alive.expired() && held && held->epoch == heldEpoch_) {
             held_[rank] = {.version = held->version, .experts = std::move(held->experts)};
+            isMapOld_ = true;
         }
     });
 }
@@ -262,17 +269,14 @@
 {
     const BootTime now = BootClock::now();
     askSilent(now);
-    const auto current = currentMap();
-    if (current) {
-        switch_.setCurrent(*current);
-    }
+    const bool isMapKnown = currentMap().has_value();
     for (const AddressedOrder &addressed : switch_.due(now)) {
         const bool isRelease = addressed.order.kind == RankOrderKind::Release;
         if (!isRelease || reach_.mayRelease(now)) {
             send(addressed.rank, addressed.order);
         }
     }
-    if (current && switch_.isIdle() && now - plannedAt_ >= options_.planInterval) {
+    if (isMapKnown && switch_.isIdle() && now - plannedAt_ >= options_.planInterval) {
         plannedAt_ = now;
         plan();
     }
@@ -322,7 +326,19 @@
     return false;
 }
 
-std::optional<RankExperts> Coordinator::currentMap() const
+/** @return nothing while ranks report different versions. Joined only when a rank's experts changed: reports come often. */
+const std::optional<RankExperts> &Coordinator::currentMap()
+{
+    if (std::exchange(isMapOld_, false)) {
+        currentMap_ = joinedMap();
+        if (currentMap_) {
+            switch_.setCurrent(*currentMap_);
+        }
+    }
+    return currentMap_;
+}
+
+std::optional<RankExperts> Coordinator::joinedMap() const
 {
     if (switch_.size() == 0 || held_.size() != switch_.size()) {
         return std::nullopt;
@@ -361,11 +377,15 @@
 
 void Coordinator::plan()
 {
-    const auto current = currentMap();
+    const auto &current = currentMap();
     if (!current || current->empty() || demand_.empty()) {
         return;
     }
     const auto demand = shares(current->size());
+    const bool isEvenEnough = ReplicaPlanner::load(*current, demand) <= static_cast<double>(current->size()) * EvenEnough;
+    if (isEvenEnough) {
+        return;
+    }
     auto plan = planner_.plan(*current, demand);
     if (!plan) {
         return;
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -82,7 +82,8 @@
     void plan();
     void sendFollow();
     bool send(std::uint32_t rank, const RankOrder &order);
-    std::optional<RankExperts> currentMap() const;
+    const std::optional<RankExperts> &currentMap();
+    std::optional<RankExperts> joinedMap() const;
     std::vector<std::vector<double>> shares(std::size_t sets) const;
 
     event_base *loop_;
@@ -100,6 +101,8 @@
     std::set<std::string> strangers_; ///< Ids of engines of other groups.
     std::map<std::uint32_t, Held> held_; ///< By rank.
     std::uint64_t heldEpoch_ = 0;
+    std::optional<RankExperts> currentMap_; ///< Joined from held_.
+    bool isMapOld_ = true; ///< held_ has changed since.
     bool isOvertaken_ = false;
     std::vector<double> demand_; ///< Decayed choices, set by set.
     BootTime demandAt_;
--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -21,6 +21,8 @@
 // tells of its choices less often, and always of the latest: 40,000 numbers cost a coordinator about 5 ms of processor time.
 constexpr double CountsPerSecond = 40'000;
 
+constexpr Duration ExpertsInterval{1000};
+
 // Each agent waits a random part of this longer, so that not all ask the store at once.
 constexpr Duration PatienceSpread{400};
 
@@ -33,6 +35,16 @@
     return instance;
 }
 
+/** Whether a switch may go on by it: passes and load change all the time, and are told with the next report. */
+bool isNewsForSwitch(const RankState &before, RankState now)
+{
+    now.step = before.step;
+    now.running = before.running;
+    now.waiting = before.waiting;
+    now.pace = before.pace;
+    return now != before;
+}
+
 class GroupTaskImpl final : public GroupTask
 {
 public:
@@ -64,6 +76,7 @@
     void readHeldIfNew();
     void publish();
     bool isCountsTurn() const;
+    bool isExpertsTurn() const;
     void takeCommand(const wire::RankCommand &command);
     void carryOut(const RankOrder &order);
     void contendIfSilent();
@@ -96,8 +109,15 @@
     std::optional<RankState> state_;
     std::optional<ExpertCounts> counted_; ///< As of the last report.
     std::vector<std::uint64_t> news_; ///< Choices between the last two looks; empty once they have been told.
+    struct ExpertsTold {
+        std::uint64_t epoch = 0;
+        std::uint64_t version = 0;
+        BootTime at{};
+    };
+
     HeldExperts held_;
     bool isHeldKnown_ = false;
+    ExpertsTold expertsTold_; ///< In the last report that listed them.
     std::uint64_t term_ = 0; ///< Highest heard of.
     BootTime heardAt_;
     BootTime commandedAt_; ///< When the engine was last given an order.
@@ -115,6 +135,7 @@
     auto listener = wire::LinkListener::listen(loop_, options_.listenAddress, options_.links, [this](std::unique_ptr<wire::Link> link) {
         const std::uint64_t number = ++lastLink_;
         links_.emplace(number, std::move(link));
+        expertsTold_ = {};
         return wire::Link::Callbacks{.onReady = {},
                                      .onMessage =
                                          [this](wire::Message &&message) {
@@ -158,7 +179,7 @@
         heardAt_ = std::max(heardAt_, BootClock::now() - options_.patience);
         drawPatience();
     }
-    const bool hasChanged = state_ != state;
+    const bool hasChanged = !state_ || isNewsForSwitch(*state_, state);
     state_ = state;
     readHeldIfNew();
     contendIfSilent();
@@ -210,9 +231,10 @@
     }
     wire::RankReport report = reportOf(*state_);
     report.term = term_;
-    if (isHeldKnown_ && held_.epoch == state_->epoch) {
+    if (isHeldKnown_ && held_.epoch == state_->epoch && isExpertsTurn()) {
         report.expertsVersion = held_.version;
         report.experts = encodeSetExperts(held_.experts);
+        expertsTold_ = {.epoch = held_.epoch, .version = held_.version, .at = BootClock::now()};
     }
     if (isCountsTurn()) {
         report.counts = encodeCounts(news_);
@@ -228,6 +250,13 @@
     }
 }
 
+/** Whether the next report lists the experts: if they changed, and now and then, as a coordinator may be new. */
+bool GroupTaskImpl::isExpertsTurn() const
+{
+    const bool isNews = expertsTold_.epoch != held_.epoch || expertsTold_.version != held_.version;
+    return isNews || BootClock::now() >= expertsTold_.at + ExpertsInterval;
+}
+
 /** Whether the next report carries counts. */
 bool GroupTaskImpl::isCountsTurn() const
 {
@@ -250,6 +279,7 @@
         log()->info("Follows term={} before={}", command.term, term_);
         term_ = command.term;
         coordinator_.reset();
+        expertsTold_ = {};
         publish();
     }
     heardAt_ = BootClock::now();
@@ -321,6 +351,7 @@
 void GroupTaskImpl::becomeCoordinator(std::uint64_t term)
 {
     term_ = term;
+    expertsTold_ = {};
     log()->info("Coordinates group={} term={} before={}", state_->group, term, row_.holder);
     coordinator_ = std::make_unique<Coordinator>(loop_,
                                                  options_,
