--- a/libs/forward/src/forwardcore.h
+++ b/libs/forward/src/forwardcore.h
@@ -33,6 +33,12 @@
     {
     }
 
+    /** Whether a request may be taken: always, but while stopping only early, or if it ends before the process does. */
+    bool takesRequest(BootTime now, BootTime deadline) const
+    {
+        return !isStopping || now < takesUntil || deadline <= endsAt;
+    }
+
     /** The process has just started, and may learn what it lacks any moment. */
     bool isStarting(BootTime now) const
     {
@@ -88,6 +94,8 @@
     ForwardMetrics metrics;
     RequestLog log;
     bool isStopping = false;
+    BootTime takesUntil; ///< While stopping: any request is taken before that.
+    BootTime endsAt; ///< While stopping: the process ends then at the latest.
     BootTime startedAt = BootClock::now();
     std::vector<std::function<void()>> waiters; ///< For the next news.
     http::Timer newsTimer;
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -60,6 +60,7 @@
 // With nobody to send to, or only refusals: engines that restart are back after about a second.
 constexpr Duration RetryAfterUnavailable{800};
 constexpr Duration RetryAfterNoProof{1000};
+constexpr Duration RetryAfterStopping{50}; // Another instance takes it at once.
 
 // Beyond this the endpoint is not read any more until the caller has taken some.
 constexpr std::size_t MostPendingBytes = 256U << 10U;
@@ -127,15 +128,19 @@
     if (!findRoute() || !findOrganisation()) {
         return;
     }
+    if (route_->timeout.count() > 0) {
+        deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
+    }
+    if (!core_.takesRequest(BootClock::now(), deadline_)) {
+        refuse(StatusUnavailable, RetryAfterStopping, "this entry is stopping");
+        return;
+    }
     const double point = std::uniform_real_distribution<double>(0, 1)(core_.random);
     service_ = routing::pickTarget(*route_, point).service;
     core_.allowanceOf(service_).requestCame(BootClock::now());
     if (const auto resumed = numberOf(request_.head.headers.value(core_.options.protocol.lastEventId))) {
         cutter_.startAfter(*resumed);
     }
-    if (route_->timeout.count() > 0) {
-        deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
-    }
     sendNext();
 }
 
--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -28,6 +28,10 @@
 // some more while the news travels. Kept connections that are idle are closed only after that.
 constexpr Duration StopLag{3200};
 constexpr Duration StopCheckInterval{50};
+
+// Later than this after the order to stop a stream is not begun any more: it would be cut by the end of the process. It is
+// the time that a balancer takes to hear of it, and some; where no instance is ready it goes on sending.
+constexpr Duration StopTakesTime{3000};
 constexpr Duration GraceMargin{400}; ///< The process ends by itself so long before it would be killed.
 
 // Without a proof for so long the balancer is asked to send callers elsewhere, in good time before keys are refused.
@@ -210,6 +214,8 @@
         return;
     }
     stopBegan_ = BootClock::now();
+    core_.takesUntil = stopBegan_ + StopTakesTime;
+    core_.endsAt = stopBegan_ + core_.options.grace - GraceMargin;
     log()->info("Stopping in_progress={} connections={} grace_ms={}", busySessions(), sessions_.size(), core_.options.grace.count());
     stopTimer_.start(StopLag);
 }
--- a/libs/forward/tests/forwardtest.cpp
+++ b/libs/forward/tests/forwardtest.cpp
@@ -337,6 +337,23 @@
     BOOST_TEST(runUntil([&] { return isStopped; }, Duration(4500)));
 }
 
+BOOST_AUTO_TEST_CASE(stop_requestComesTooLateToEnd_isRefusedAsNotRun)
+{
+    // Symptom: streams were cut by a planned stop. Sequence: no instance of the data centre was ready, so that the balancer
+    // went on sending callers to the one that stopped; streams taken in its last seconds ended with the process. Cause: it
+    // took whatever came.
+    putRoutes();
+    RawPeer &endpoint = addEndpoint(always(streamHead("r1") + eventChunk(1)));
+    RawCaller &kept = call(request("stream", "POST", "Content-Length: 0\r\n"));
+    BOOST_REQUIRE(runUntil([&] { return has(kept.received(), "d1"); }));
+    task->drain();
+    runFor(Duration(3100));
+    const std::string answer = answerTo(request("stream", "POST", "Content-Length: 0\r\n"), "}");
+    BOOST_TEST(has(answer, "HTTP/1.1 503"));
+    BOOST_TEST(has(answer, "Connection: close\r\n"));
+    BOOST_TEST(endpoint.requests() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(StreamTest, ForwardFixture)
