routing: groups are learnt by the address that refusals name

Cause: with the failed rank gone from the list its group could not be learnt, so each rank was asked in vain.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -60,6 +60,8 @@
 // With nobody to send to, or only refusals: engines that restart are back after about a second.
 constexpr Duration RetryAfterUnavailable{800};
 constexpr Duration RetryAfterNoProof{1000};
+// A group that did not come back while its caller waited lacks a rank, which is restarted or replaced within some seconds.
+constexpr Duration RetryAfterGroup{1800};
 constexpr Duration RetryAfterStopping{50}; // Another instance takes it at once.
 
 // Beyond this the endpoint is not read any more until the caller has taken some.
@@ -261,7 +263,7 @@
     }
     if (endpoint != nullptr && isResending_ && !core_.allowanceOf(service_).tryRetry(now)) {
         core_.metrics.retriesDenied.add();
-        refuse(StatusUnavailable, RetryAfterUnavailable, "its group does not run, and the retry budget is used up");
+        refuse(StatusUnavailable, RetryAfterGroup, "its group does not run, and the retry budget is used up");
         return;
     }
     if (endpoint != nullptr) {
@@ -525,7 +527,7 @@
                 core_.log.sendingEnded(requestId_, endpoint_->record.id, "not-run", status, atFault, "wait for its group");
                 return;
             }
-            refuse(StatusUnavailable, RetryAfterUnavailable, "its group does not run");
+            refuse(StatusUnavailable, RetryAfterGroup, "its group does not run");
             return;
         }
         if (retry("not-run")) {
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -123,13 +123,14 @@
 
 private:
     double cost(const Endpoint &endpoint, BootTime now) const;
-    void joinGroups(Endpoint &one, Endpoint &other);
+    void joinGroups(std::string_view service, std::uint32_t one, std::uint32_t other);
     void markGroup(Endpoint &endpoint, BootTime until);
 
     Options options_;
     TextMap<EndpointPointer> byId_;
     TextMap<std::vector<EndpointPointer>> byService_;
     std::uint32_t lastGroup_ = 0;
+    TextMap<std::uint32_t> groupsByFault_; ///< By the address that refusals named, which may have left the list.
 };
 
 } // namespace magnolia::routing
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -28,6 +28,9 @@
 // Sent as often as equals by the random part, so that entries with the same reports don't all choose the same endpoint.
 constexpr double RandomPart = 0.05;
 
+// Addresses of endpoints at fault that are remembered: far more than fail while any of them matters.
+constexpr std::size_t MostFaults = 1000;
+
 // A group forms again some 600 ms after its last rank is back: asked for every 200 ms it is found soon, at the price of one
 // refused request for each entry and time.
 constexpr Duration GroupPause{200};
@@ -110,9 +113,24 @@
 
 void EndpointTable::refusedForPeer(Endpoint &endpoint, std::string_view peerAddress, BootTime now)
 {
+    if (groupsByFault_.size() >= MostFaults) {
+        groupsByFault_.clear(); // Learnt again by the next refusals.
+    }
+    if (endpoint.group == 0) {
+        endpoint.group = ++lastGroup_;
+    }
+    // Those that refuse for the same endpoint's sake are of its group, whether it is on the list or not.
+    const auto known = groupsByFault_.find(peerAddress);
+    if (known == groupsByFault_.end()) {
+        groupsByFault_.emplace(peerAddress, endpoint.group);
+    } else {
+        joinGroups(endpoint.record.service, endpoint.group, known->second);
+    }
     for (const EndpointPointer &peer : ofService(endpoint.record.service)) {
-        if (peer->record.address == peerAddress && peer.get() != &endpoint) {
-            joinGroups(endpoint, *peer);
+        if (peer->record.address == peerAddress && peer->group != 0) {
+            joinGroups(endpoint.record.service, endpoint.group, peer->group);
+        } else if (peer->record.address == peerAddress) {
+            peer->group = endpoint.group;
         }
     }
     markGroup(endpoint, now + GroupPause);
@@ -134,22 +152,17 @@
     return true;
 }
 
-void EndpointTable::joinGroups(Endpoint &one, Endpoint &other)
+void EndpointTable::joinGroups(std::string_view service, std::uint32_t one, std::uint32_t other)
 {
-    if (one.group != 0 && one.group == other.group) {
+    if (one == other) {
         return;
     }
-    const std::uint32_t joined = ++lastGroup_;
-    const std::uint32_t first = one.group;
-    const std::uint32_t second = other.group;
-    for (const EndpointPointer &endpoint : ofService(one.record.service)) {
-        const bool isOfEither = endpoint->group != 0 && (endpoint->group == first || endpoint->group == second);
-        if (isOfEither) {
-            endpoint->group = joined;
-        }
+    for (const EndpointPointer &endpoint : ofService(service)) {
+        endpoint->group = endpoint->group == other ? one : endpoint->group;
+    }
+    for (auto &[address, group] : groupsByFault_) {
+        group = group == other ? one : group;
     }
-    one.group = joined;
-    other.group = joined;
 }
 
 void EndpointTable::markGroup(Endpoint &endpoint, BootTime until)
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -128,6 +128,17 @@
     BOOST_TEST((table.find("b")->refusesUntil == BootTime()));
 }
 
+BOOST_AUTO_TEST_CASE(endpoints_refuseForOneThatLeftTheList_areOneGroup)
+{
+    table.refusedForPeer(*table.find("a"), "gone:80", Now);
+    table.refusedForPeer(*table.find("b"), "gone:80", Now);
+    table.refusedForPeer(*table.find("c"), "other:80", Now);
+    BOOST_TEST(table.find("a")->group == table.find("b")->group);
+    BOOST_TEST(table.find("a")->group != table.find("c")->group);
+    table.refusedForPeer(*table.find("b"), "other:80", Now);
+    BOOST_TEST(table.find("a")->group == table.find("c")->group);
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_leavingOrGone_isNeverTaken)
 {
     table.put({.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .isLeaving = true});
