--- a/apps/magnolia-agent/main.cpp
+++ b/apps/magnolia-agent/main.cpp
@@ -2,10 +2,10 @@
 #include "agent/agenttask.h"
 #include "http/eventhandles.h"
 #include "observe/log.h"
+#include "settings/settings.h"
 #include "store/httpinstances.h"
 #include "store/httpobjects.h"
 #include "store/httptable.h"
-#include "settings/settings.h"
 
 #include <getopt.h>
 
--- a/apps/magnolia-entry/main.cpp
+++ b/apps/magnolia-entry/main.cpp
@@ -1,10 +1,10 @@
 // magnolia-entry: takes callers' requests and dispatches them to the agents. A thin main over libs/entry.
 #include "entry/entrytask.h"
 #include "observe/log.h"
+#include "settings/settings.h"
 #include "store/httpinstances.h"
 #include "store/httpobjects.h"
 #include "store/httptable.h"
-#include "settings/settings.h"
 
 #include <event2/event.h>
 #include <getopt.h>
--- a/apps/magnoliactl/main.cpp
+++ b/apps/magnoliactl/main.cpp
@@ -3,10 +3,10 @@
 #include "ctl/commands.h"
 #include "ctl/platformcommands.h"
 #include "http/eventhandles.h"
+#include "settings/settings.h"
 #include "store/httpinstances.h"
 #include "store/httpobjects.h"
 #include "store/httptable.h"
-#include "settings/settings.h"
 
 #include <csignal>
 #include <iostream>
--- a/libs/agent/include/agent/claimprotocol.h
+++ b/libs/agent/include/agent/claimprotocol.h
@@ -5,8 +5,8 @@
 #include "base/clock.h"
 #include "base/failure.h"
 #include "base/random.h"
-#include "store/tablestore.h"
 #include "policy/backoff.h"
+#include "store/tablestore.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/libs/agent/tests/agentfixture.h
+++ b/libs/agent/tests/agentfixture.h
@@ -5,8 +5,8 @@
 #include "http/eventhandles.h"
 #include "manifest/chunks.h"
 #include "manifest/headrow.h"
-#include "store/testing/memorytable.h"
 #include "smallendpoint.h"
+#include "store/testing/memorytable.h"
 #include "wire/loadedlist.h"
 
 #include <boost/test/unit_test.hpp>
--- a/libs/manifest/include/manifest/followertask.h
+++ b/libs/manifest/include/manifest/followertask.h
@@ -144,8 +144,7 @@
 
     void onHeadRow(const Result<std::optional<store::Row>> &row)
     {
-        follower_.onHeadRow(clock_.now(),
-                            row.map([](const std::optional<store::Row> &found) { return found ? std::optional(found->value) : std::nullopt; }));
+        follower_.onHeadRow(clock_.now(), row.map([](const std::optional<store::Row> &found) { return found ? std::optional(found->value) : std::nullopt; }));
         run();
     }
 
