--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -2,6 +2,7 @@
 
 #include "base/errorcode.h"
 #include "http/errorbody.h"
+#include "outgoingrequest.h"
 
 #include <spdlog/fmt/fmt.h>
 
@@ -331,34 +332,14 @@
 
 std::string Forwarding::messageFor(const routing::Endpoint &endpoint) const
 {
-    const Protocol &protocol = core_.options.protocol;
-    http::HeaderList headers = request_.head.headers;
-    headers.removeHopByHop();
-    headers.remove(protocol.key);
-    headers.remove(protocol.organisation);
-    headers.remove(protocol.notRun);
-    headers.remove("expect");
-    const auto milliseconds = std::chrono::duration_cast<Duration>(left());
-    headers.set(protocol.deadline, std::to_string(std::max<Duration::rep>(milliseconds.count(), 1)));
-    headers.set(protocol.expectedInstance, endpoint.record.id);
-    if (organisation_ != nullptr) {
-        headers.set(protocol.organisation, organisation_->name);
-    }
     const auto priority = organisation_ != nullptr && organisation_->priority ? organisation_->priority : route_->priority;
-    if (priority && route_->kind == RouteKind::Stream) {
-        headers.set(protocol.priority, std::to_string(*priority));
-    }
-    if (cutter_.lastId()) {
-        headers.set(protocol.lastEventId, std::to_string(*cutter_.lastId()));
-    }
-    std::string message = request_.head.method + " " + request_.head.target + " HTTP/1.1\r\n";
-    headers.appendTo(message);
-    const bool mayHaveBody = !request_.body.empty() || request_.head.method == "POST" || request_.head.method == "PUT" || request_.head.method == "PATCH";
-    if (mayHaveBody) {
-        message.append("Content-Length: ").append(std::to_string(request_.body.size())).append("\r\n");
-    }
-    message.append("\r\n").append(request_.body);
-    return message;
+    return writeRequest(core_.options.protocol,
+                        {.request = &request_,
+                         .expectedInstance = endpoint.record.id,
+                         .left = std::chrono::duration_cast<Duration>(left()),
+                         .organisation = organisation_ == nullptr ? std::string_view() : std::string_view(organisation_->name),
+                         .priority = route_->kind == RouteKind::Stream ? priority : std::nullopt,
+                         .lastEventId = cutter_.lastId()});
 }
 
 bool Forwarding::mayRepeat() const
