--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -48,6 +48,8 @@
 // moved, if it may be, so that the next endpoint's first event still finds its caller.
 constexpr Duration StreamSilence{1700};
 
+constexpr Duration PatienceRecheck{100};
+
 // For a request that may run at most once only a connection is used that the endpoint is not likely to be closing just
 // now: if it were, nobody could tell whether the request ran.
 constexpr Duration LongestIdleAtMostOnce{1000};
@@ -589,16 +591,26 @@
     const BootTime now = BootClock::now();
     BootTime next = isWaiting_ ? std::min(deadline_, waitingEnds_) : deadline_;
     if (call_ != nullptr) {
-        if (!call_->isConnected()) {
-            next = std::min(next, sentAt_ + ConnectTimeout);
-        } else if (route_->kind == RouteKind::Stream) {
-            next = std::min(next, heardAt_ + StreamSilence);
-        } else if (route_->kind == RouteKind::Idempotent && route_->latencyObjective.count() > 0) {
-            next = std::min(next, sentAt_ + ObjectivesBeforeRepeat * route_->latencyObjective);
-        }
+        const BootTime bound = patienceEnds();
+        // A bound that has passed without effect, e.g. for want of retry budget, is looked at again now and then.
+        next = std::min(next, bound > now ? bound : now + PatienceRecheck);
+    }
+    timer_.start(std::max(std::chrono::ceil<Duration>(next - now), Duration(1)));
+}
+
+/** @return until when the call in progress is left alone. */
+BootTime Forwarding::patienceEnds() const
+{
+    if (!call_->isConnected()) {
+        return sentAt_ + ConnectTimeout;
+    }
+    if (route_->kind == RouteKind::Stream) {
+        return heardAt_ + StreamSilence;
+    }
+    if (route_->kind == RouteKind::Idempotent && route_->latencyObjective.count() > 0) {
+        return sentAt_ + ObjectivesBeforeRepeat * route_->latencyObjective;
     }
-    constexpr Duration Soonest{5}; // A bound that has passed without effect must not spin.
-    timer_.start(std::max(std::chrono::ceil<Duration>(next - now), Soonest));
+    return deadline_;
 }
 
 void Forwarding::timerFired()
@@ -617,14 +629,13 @@
         startTimer(); // Timers may fire a little early.
         return;
     }
-    if (!call_->isConnected() && now >= sentAt_ + ConnectTimeout) {
+    const bool isOver = now >= patienceEnds();
+    if (isOver && !call_->isConnected()) {
         callEnded(CallEnd::NotSent);
         return;
     }
-    const bool isSilentStream = route_->kind == RouteKind::Stream && now >= heardAt_ + StreamSilence;
-    const bool isSlow = route_->kind == RouteKind::Idempotent && now >= sentAt_ + ObjectivesBeforeRepeat * route_->latencyObjective;
     const bool couldMove = mayRepeat() && tried_.size() < route_->maxEndpoints;
-    if ((isSilentStream || isSlow) && couldMove && core_.allowanceOf(service_).tryRetry(now)) {
+    if (isOver && couldMove && core_.allowanceOf(service_).tryRetry(now)) {
         core_.connections.closeAll(endpoint_->record.id);
         mayHaveRun_ = true;
         core_.log.sendingEnded(requestId_, endpoint_->record.id, "silent", 0, {}, "retry");
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -77,6 +77,7 @@
     // Ends.
     void timerFired();
     void startTimer();
+    BootTime patienceEnds() const;
     void giveUp();
     void endCall(routing::EndpointSign sign);
     void refuse(int status, Duration retryAfter, std::string_view cause);
