group: an open group in epoch 0 is an epoch like any other; the undo without a known map is tested

Cause: the first epoch was told from none by its number, so a group that is open in epoch 0 ended its coordinators by an exception. Found by reading the change; the test failed first with out_of_range. A second test says that none is prepared until the map is known.

--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -100,7 +100,7 @@
     std::map<std::string, Member> members_; ///< By the id of their engine's run.
     std::set<std::string> strangers_; ///< Ids of engines of other groups.
     std::map<std::uint32_t, Held> held_; ///< By rank.
-    std::uint64_t heldEpoch_ = 0;
+    std::optional<std::uint64_t> heldEpoch_; ///< Of held_ and reach_; nothing before the first report.
     std::optional<RankExperts> currentMap_; ///< Joined from held_.
     bool isMapOld_ = true; ///< held_ has changed since.
     bool isOvertaken_ = false;
--- a/libs/group/tests/grouptasktest.cpp
+++ b/libs/group/tests/grouptasktest.cpp
@@ -37,7 +37,7 @@
     {
         const Engine &engine = ranks_[rank];
         return {.group = "g",
-                .epoch = 1,
+                .epoch = epoch,
                 .rank = rank,
                 .size = Ranks,
                 .isOpen = true,
@@ -99,6 +99,7 @@
     }
 
     std::uint16_t hot = 0; ///< Most choices fall on this expert.
+    std::uint64_t epoch = 1;
 
 private:
     static constexpr Duration Pass{20};
@@ -154,11 +155,11 @@
     }
     void readCounts(std::function<void(Result<ExpertCounts>)> done) override
     {
-        later([this, done] { done(ExpertCounts{.epoch = 1, .counts = group_.counts(rank_)}); });
+        later([this, done] { done(ExpertCounts{.epoch = group_.epoch, .counts = group_.counts(rank_)}); });
     }
     void readHeld(std::function<void(Result<HeldExperts>)> done) override
     {
-        later([this, done] { done(HeldExperts{.epoch = 1, .version = group_.stateOf(rank_).map, .experts = group_.experts(rank_)}); });
+        later([this, done] { done(HeldExperts{.epoch = group_.epoch, .version = group_.stateOf(rank_).map, .experts = group_.experts(rank_)}); });
     }
     void order(const RankOrder &order, std::function<void(OrderOutcome)> done) override
     {
@@ -289,6 +290,15 @@
     BOOST_TEST(holders >= 2U);
 }
 
+BOOST_AUTO_TEST_CASE(group_openInEpochZero_mapIsChanged)
+{
+    // Symptom: coordinators ended one after the other. Sequence: a group was open in its first epoch, and that had the number
+    // 0. Cause: an epoch was taken for new only if its number was another than 0.
+    group.epoch = 0;
+    BOOST_TEST(runUntil([this] { return group.map() != 0; }));
+    BOOST_TEST(!group.isSplit());
+}
+
 BOOST_AUTO_TEST_CASE(coordinator_dies_anotherTakesOverAndChangesTheMap)
 {
     // Symptom: maps were no longer changed after all instances had been restarted. Sequence: the coordinator's process ended,
--- a/libs/group/tests/mapswitchtest.cpp
+++ b/libs/group/tests/mapswitchtest.cpp
@@ -142,6 +142,7 @@
 {
     // Symptom: a group stood still for good. Sequence: an order to hold got no answer, was given again for a later pass, and
     // the first was carried out seconds later. Cause: a hold never expires, and nobody waited for this one.
+    mapSwitch.setCurrent({{{1}, {2}}});
     reportAll([](RankState &) {});
     states[1].held = 30;
     reportAll([](RankState &) {});
@@ -158,6 +159,18 @@
     BOOST_TEST(isReleased);
 }
 
+BOOST_AUTO_TEST_CASE(undo_mapInUseNotKnownYet_noEmptyMapIsPrepared)
+{
+    states[1].held = 30;
+    reportAll([](RankState &) {});
+    BOOST_TEST((mapSwitch.phase() == MapSwitch::Phase::Undoing));
+    BOOST_TEST(due().empty());
+    mapSwitch.setCurrent({{{1}, {2}}});
+    const auto orders = due();
+    BOOST_REQUIRE(orders.size() == 2U);
+    BOOST_TEST(!orders[0].order.map.empty());
+}
+
 BOOST_AUTO_TEST_CASE(pass_beganBeforeItsHold_laterOneIsHeld)
 {
     reportAll([](RankState &) {});
