forward: one way to end a request with nothing more to try; dead members removed

Cause: the ending stood four times, three of them in the order that passes a kept failure on before it looks whether a stream has begun. On a route that allows three endpoints a failure, a stream cut after its first event and a lost answer put the failure's head into the middle of the caller's stream. Found by reading the change; the test failed first. Also: a loss of an order's send was returned to nobody; two members were never read.

--- a/libs/forward/src/endpointcall.h
+++ b/libs/forward/src/endpointcall.h
@@ -73,10 +73,6 @@
     {
         return hasAnswer_;
     }
-    bool isOnKeptConnection() const
-    {
-        return isKept_;
-    }
 
 private:
     void received(std::string_view bytes);
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -277,15 +277,8 @@
     if (tried_.empty() && waitForNews()) {
         return;
     }
-    if (fallback_) {
-        passOn(std::move(*fallback_));
-    } else if (isStreaming_) {
-        cutStream("no other endpoint takes work");
-    } else if (mayHaveRun_) {
-        fail(StatusBadGateway, "no other endpoint takes work");
-    } else {
-        refuse(StatusUnavailable, RetryAfterUnavailable, tried_.empty() ? "no endpoint takes work" : "all endpoints refused");
-    }
+    const bool isFirst = tried_.empty() && !mayHaveRun_ && !isStreaming_;
+    conclude(isFirst ? "no endpoint takes work" : "no other endpoint takes work", StatusBadGateway);
 }
 
 /** @return null if there is none. Never one more endpoint than the route allows. */
@@ -475,15 +468,7 @@
     if (retry(toString(end))) {
         return;
     }
-    if (fallback_) {
-        passOn(std::move(*fallback_));
-    } else if (isStreaming_) {
-        cutStream(toString(end));
-    } else if (mayHaveRun_) {
-        fail(StatusBadGateway, toString(end));
-    } else {
-        refuse(StatusUnavailable, RetryAfterUnavailable, toString(end));
-    }
+    conclude(toString(end), StatusBadGateway);
 }
 
 void Forwarding::wholeAnswerCame()
@@ -516,15 +501,7 @@
         if (retry("not-run")) {
             return;
         }
-        if (fallback_) {
-            passOn(std::move(*fallback_));
-        } else if (isStreaming_) {
-            cutStream("all endpoints refused");
-        } else if (mayHaveRun_) {
-            fail(StatusBadGateway, "an earlier sending may have run");
-        } else {
-            refuse(StatusUnavailable, RetryAfterUnavailable, "endpoints refused");
-        }
+        conclude("endpoints refused", StatusBadGateway);
         return;
     }
     mayHaveRun_ = true;
@@ -658,14 +635,25 @@
         mayHaveRun_ = mayHaveRun_ || wasSent;
         endCall(EndpointSign::Failed);
     }
+    conclude("time is up", StatusTimeout);
+}
+
+/**
+ * Ends it with nothing more to try. A stream that has begun can only be cut: whatever else was kept, e.g. an earlier
+ * endpoint's failure, would stand in the middle of it.
+ *
+ * @param failedStatus told if it may have run.
+ */
+void Forwarding::conclude(std::string_view cause, int failedStatus)
+{
     if (isStreaming_) {
-        cutStream("time is up");
+        cutStream(cause);
     } else if (fallback_) {
         passOn(std::move(*fallback_));
     } else if (mayHaveRun_) {
-        fail(StatusTimeout, "time is up");
+        fail(failedStatus, cause);
     } else {
-        refuse(StatusUnavailable, RetryAfterUnavailable, "time is up");
+        refuse(StatusUnavailable, RetryAfterUnavailable, cause);
     }
 }
 
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -79,6 +79,7 @@
     void startTimer();
     BootTime patienceEnds() const;
     void giveUp();
+    void conclude(std::string_view cause, int failedStatus);
     void endCall(routing::EndpointSign sign);
     void refuse(int status, Duration retryAfter, std::string_view cause);
     void fail(int status, std::string_view cause);
--- a/libs/forward/tests/forwardfixture.h
+++ b/libs/forward/tests/forwardfixture.h
@@ -89,6 +89,8 @@
         config.routes = {route("again", routing::RouteKind::Idempotent, 2), route("once", routing::RouteKind::AtMostOnce, 2)};
         config.routes.push_back(route("stream", routing::RouteKind::Stream, 2));
         config.routes.back().isResumable = true;
+        config.routes.push_back(route("threefold", routing::RouteKind::Stream, 3));
+        config.routes.back().isResumable = true;
         config.routes.push_back(route("keyed", routing::RouteKind::Idempotent, 2));
         config.routes.back().isPublic = false;
         config.services = {{.name = "s"}};
--- a/libs/forward/tests/forwardtest.cpp
+++ b/libs/forward/tests/forwardtest.cpp
@@ -407,6 +407,33 @@
     BOOST_TEST(!answer.ends_with("0\r\n\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(stream_cutAfterAnEarlierFailure_failureIsNotPutIntoIt)
+{
+    // Symptom: a second answer's head in the middle of a stream. Sequence: one endpoint failed, the next one's stream was cut
+    // after its first event, and a third gave no answer. Cause: the failure kept from the first was passed on at the end,
+    // though the caller had a part of the stream by then.
+    putRoutes();
+    int number = 0;
+    const auto script = [&](int) {
+        switch (++number) {
+        case 1:
+            return RawPeer::Answer{.bytes = wholeAnswer(500, "r1", "failed")};
+        case 2:
+            return RawPeer::Answer{.bytes = streamHead("r1") + eventChunk(1), .then = Then::Reset};
+        default:
+            return RawPeer::Answer{.bytes = "", .then = Then::Close};
+        }
+    };
+    addEndpoint(script);
+    addEndpoint(script);
+    addEndpoint(script);
+    const std::string answer = answerTo(request("threefold", "POST", "Content-Length: 0\r\n"), "failed");
+    BOOST_TEST(sendings() == 3);
+    BOOST_TEST(has(answer, "d1"));
+    BOOST_TEST(!has(answer, "failed"));
+    BOOST_TEST(!answer.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_CASE(stream_endsWithoutItsEnd_doesNotLookComplete)
 {
     putRoutes();
--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -303,11 +303,11 @@
     }
 }
 
-bool Coordinator::send(std::uint32_t rank, const RankOrder &order)
+void Coordinator::send(std::uint32_t rank, const RankOrder &order)
 {
     if (rank == ownRank_) {
         callbacks_.orderOwn(order);
-        return true;
+        return;
     }
     const BootTime now = BootClock::now();
     for (const auto &[id, member] : members_) {
@@ -317,13 +317,14 @@
         if (isInSwitch() && member.engine != nullptr && reach_.isSilent(rank, now) && reach_.mayAddress(now)) {
             log()->info("Order given past a silent agent rank={} kind={} version={} step={}", rank, toString(order.kind), order.version, order.step);
             member.engine->order(order, [](OrderOutcome) {}); // What it did is read from the engine.
-            return true;
+            return;
         }
+        // An engine that was restarted has a second entry of the same rank; the earlier one's link is down.
         if (member.link->isUp()) {
-            return member.link->send(commandOf(order, group_, term_));
+            member.link->send(commandOf(order, group_, term_));
+            return;
         }
     }
-    return false;
 }
 
 /** @return nothing while ranks report different versions. Joined only when a rank's experts changed: reports come often. */
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -81,7 +81,7 @@
     void takeDemand(const wire::RankReport &report);
     void plan();
     void sendFollow();
-    bool send(std::uint32_t rank, const RankOrder &order);
+    void send(std::uint32_t rank, const RankOrder &order);
     const std::optional<RankExperts> &currentMap();
     std::optional<RankExperts> joinedMap() const;
     std::vector<std::vector<double>> shares(std::size_t sets) const;
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -37,7 +37,6 @@
     EndpointRecord record;
     bool isGone = false; ///< It left the list; whoever still holds it sends it nothing new.
     std::uint32_t inFlight = 0; ///< Sent by this entry and not ended.
-    double promptTokens = 0; ///< Sent by this entry and not answered yet.
     LoadReport load;
     std::uint32_t ownAtReport = 0; ///< inFlight when that report came.
     BootTime reportedAt;
