--- a/libs/ctl/src/deploymentreport.cpp
+++ b/libs/ctl/src/deploymentreport.cpp
@@ -37,7 +37,7 @@
         targets[target.service] = target.weight;
     }
     return {{"host", route.host},
-            {"path_prefix", route.pathPrefix},
+            {"prefix", route.pathPrefix},
             {"kind", toString(route.kind)},
             {"resumable", route.isResumable},
             {"timeout_ms", route.timeout.count()},
