forward: a span for each request and each sending; the endpoints of a request have a class of their own; what a coordinator costs

Cause: the path on the users' platform had no spans, and forwarding.cpp, the largest new file, held two lists and a count of the endpoints of a request whose meaning had to be read out of five places. `Sendings` holds them now. Spans are written only if the settings name a file: no instance of that platform has a disk. Test: one span for a request, one for each of two sendings, same trace, the endpoint gets the sending's context.

--- a/apps/magnoliactl/main.cpp
+++ b/apps/magnoliactl/main.cpp
@@ -35,7 +35,7 @@
     const http::EventBasePtr loop(event_base_new());
     if (settings->store) {
         adapters::DeploymentReader reader(loop.get(), settings->store->address);
-        return DeploymentCommands(loop.get(), reader, output).run(line);
+        return DeploymentCommands(loop.get(), reader, settings->store->address, output).run(line);
     }
     Daemons daemons(loop.get(), settings->operators);
     if (line.command == "status") {
--- a/libs/ctl/include/ctl/deploymentcommands.h
+++ b/libs/ctl/include/ctl/deploymentcommands.h
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 #include <memory>
@@ -24,7 +25,7 @@
  * rows are the operators' and the platform's. Each runs the loop until it has its answers; one thread.
  *
  * @code
- * DeploymentCommands commands(loop, reader, output);
+ * DeploymentCommands commands(loop, reader, "10.0.0.9:8223", output);
  * return commands.run(line);
  * @endcode
  */
@@ -32,7 +33,10 @@
 class DeploymentCommands
 {
 public:
-    DeploymentCommands(event_base *loop, View &view, Output &output) : loop_(loop), view_(view), output_(output) {}
+    DeploymentCommands(event_base *loop, View &view, std::string storeAddress, Output &output)
+        : loop_(loop), view_(view), storeAddress_(std::move(storeAddress)), output_(output)
+    {
+    }
 
     ExitCode run(const CommandLine &line)
     {
@@ -48,8 +52,9 @@
         if (line.command == "diff") {
             return diff(line);
         }
-        return output_.error(ExitCode::BadInput,
-                             fmt::format("{} is not for a deployment whose routes are kept in the store: operators write them there", line.command));
+        return output_.error(
+            ExitCode::BadInput,
+            fmt::format("{} is not offered where the store keeps the routes: operators write them there, and the platform stops daemons", line.command));
     }
 
 private:
@@ -173,11 +178,12 @@
 
     ExitCode unavailable(const Failure &failure)
     {
-        return output_.error(ExitCode::Unavailable, fmt::format("{} {}", failure.code.message(), failure.detail));
+        return output_.error(ExitCode::Unavailable, fmt::format("the store at {}: {} {}", storeAddress_, failure.code.message(), failure.detail));
     }
 
     event_base *loop_;
     View &view_;
+    std::string storeAddress_; ///< For errors.
     Output &output_;
 };
 
--- a/libs/ctl/tests/deploymenttest.cpp
+++ b/libs/ctl/tests/deploymenttest.cpp
@@ -101,7 +101,7 @@
     {
         const auto line = parseCommandLine(arguments);
         BOOST_REQUIRE_MESSAGE(line.has_value(), (line ? "" : line.error()));
-        return DeploymentCommands(loop.get(), view, output).run(*line);
+        return DeploymentCommands(loop.get(), view, "10.0.0.9:1", output).run(*line);
     }
 
     bool says(const std::string &text) const
@@ -138,6 +138,7 @@
                                                       {"diff", "-s", "x", "/dev/null"}}) {
         BOOST_TEST((run(arguments) == ExitCode::Unavailable));
     }
+    BOOST_TEST(err.str().find("the store at 10.0.0.9:1: ") != std::string::npos);
     BOOST_TEST(err.str().find("the store answered 503") != std::string::npos);
 }
 
--- a/libs/forward/include/forward/forwardtask.h
+++ b/libs/forward/include/forward/forwardtask.h
@@ -5,6 +5,7 @@
 #include "base/failure.h"
 #include "forward/protocol.h"
 #include "observe/metrics.h"
+#include "observe/trace.h"
 #include "routing/endpointtable.h"
 #include "routing/retryallowance.h"
 #include "routing/routetable.h"
@@ -30,6 +31,7 @@
     routing::RoutingProof::Options proof{};
     routing::RetryAllowance::Options retries{};
     Duration grace{8000}; ///< From the order to stop until the process is killed.
+    observe::Tracer *tracer = nullptr; ///< Outlives the task; null: no spans.
 };
 
 /**
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -73,6 +73,7 @@
 // A whole answer is held in memory until it has come; more than this is no answer to a request of this kind.
 constexpr std::size_t MostAnswerBytes = 16U << 20U;
 
+constexpr std::string_view TraceHeader = "traceparent"; // W3C trace context.
 constexpr std::string_view EventStream = "text/event-stream";
 
 bool isSuccess(int status)
@@ -117,6 +118,11 @@
 void Forwarding::start()
 {
     const auto self = shared_from_this();
+    if (core_.options.tracer != nullptr) {
+        const auto parent = observe::TraceContext::parse(request_.head.headers.value(TraceHeader));
+        span_ = core_.options.tracer->start("forward.request", parent, observe::SpanKind::Server);
+        span_.set("request.id", requestId_);
+    }
     setDeadline();
     admit();
 }
@@ -274,35 +280,33 @@
         send(endpoint);
         return;
     }
-    if (tried_.empty() && waitForNews()) {
+    if (sendings_.tried().empty() && waitForNews()) {
         return;
     }
-    const bool isFirst = tried_.empty() && !mayHaveRun_ && !isStreaming_;
+    const bool isFirst = sendings_.tried().empty() && !mayHaveRun_ && !isStreaming_;
     conclude(isFirst ? "no endpoint takes work" : "no other endpoint takes work", StatusBadGateway);
 }
 
 /** @return null if there is none. Never one more endpoint than the route allows. */
 routing::EndpointPointer Forwarding::nextEndpoint() const
 {
-    if (isResending_ && sentTo_.size() >= route_->maxEndpoints) {
-        const routing::EndpointPointer last = core_.endpoints.find(sentTo_.back());
+    if (isResending_ && sendings_.hasReached(route_->maxEndpoints)) {
+        const routing::EndpointPointer last = core_.endpoints.find(sendings_.lastReached());
         return last != nullptr && last->takesWork() ? last : nullptr;
     }
-    return core_.endpoints.choose({.service = service_, .tried = tried_}, BootClock::now(), core_.random);
+    return core_.endpoints.choose({.service = service_, .tried = sendings_.tried()}, BootClock::now(), core_.random);
 }
 
 void Forwarding::send(const routing::EndpointPointer &endpoint)
 {
     core_.endpoints.sendingTo(*endpoint, BootClock::now());
-    if (std::find(sentTo_.begin(), sentTo_.end(), endpoint->record.id) == sentTo_.end()) {
-        sentTo_.push_back(endpoint->record.id);
-    }
+    sendings_.began(endpoint->record.id);
     endpoint_ = endpoint;
+    beginSendingSpan();
     sentAt_ = BootClock::now();
     heardAt_ = sentAt_;
     incoming_ = {};
     isStreamAnswer_ = false;
-    tried_.push_back(endpoint->record.id);
     const bool isAtMostOnce = route_->kind == RouteKind::AtMostOnce;
     call_ = std::make_shared<EndpointCall>(EndpointCall::Options{.loop = core_.loop,
                                                                  .connections = &core_.connections,
@@ -316,7 +320,6 @@
                                                                    .onBody = [this](std::string_view piece) { bodyCame(piece); },
                                                                    .onEnd = [this](CallEnd end) { callEnded(end); }});
     ++endpoint->inFlight;
-    ++sendings_;
     core_.metrics.sendings.add();
     if (!call_->start()) {
         callEnded(CallEnd::NotSent);
@@ -325,6 +328,14 @@
     startTimer();
 }
 
+void Forwarding::beginSendingSpan()
+{
+    if (core_.options.tracer != nullptr) {
+        sendingSpan_ = core_.options.tracer->start("forward.sending", span_.context(), observe::SpanKind::Client);
+        sendingSpan_.set("endpoint", endpoint_->record.id);
+    }
+}
+
 std::string Forwarding::messageFor(const routing::Endpoint &endpoint) const
 {
     const auto priority = organisation_ != nullptr && organisation_->priority ? organisation_->priority : route_->priority;
@@ -334,7 +345,8 @@
                          .left = std::chrono::duration_cast<Duration>(left()),
                          .organisation = organisation_ == nullptr ? std::string_view() : std::string_view(organisation_->name),
                          .priority = route_->kind == RouteKind::Stream ? priority : std::nullopt,
-                         .lastEventId = cutter_.lastId()});
+                         .lastEventId = cutter_.lastId(),
+                         .traceparent = sendingSpan_.traceparent()});
 }
 
 bool Forwarding::mayRepeat() const
@@ -346,7 +358,7 @@
 bool Forwarding::retry(std::string_view cause)
 {
     const bool isAllowed = !mayHaveRun_ || mayRepeat();
-    if (!isAllowed || tried_.size() >= route_->maxEndpoints || left().count() <= 0) {
+    if (!isAllowed || !sendings_.mayTryAnother(route_->maxEndpoints) || left().count() <= 0) {
         return false;
     }
     if (!core_.allowanceOf(service_).tryRetry(BootClock::now())) {
@@ -354,7 +366,7 @@
         return false;
     }
     core_.log.sendingEnded(
-        requestId_, tried_.back(), cause, incoming_.head.status, incoming_.head.headers.value(core_.options.protocol.endpointAtFault), "retry");
+        requestId_, sendings_.lastTried(), cause, incoming_.head.status, incoming_.head.headers.value(core_.options.protocol.endpointAtFault), "retry");
     core_.metrics.retries.add();
     hasRetried_ = true;
     if (isStreaming_) {
@@ -456,9 +468,9 @@
     endCall(isUnsent ? EndpointSign::Unreachable : EndpointSign::Failed);
     if (isUnsent) {
         // It reached nobody, so it counts neither against the route's bound nor, for the endpoint, as an arrival.
-        tried_.pop_back();
+        sendings_.takeBack();
         endpoint_->avoidUntil = std::max(endpoint_->avoidUntil, BootClock::now() + ConnectTimeout);
-        const bool mayDialAgain = sendings_ <= core_.endpoints.ofService(service_).size();
+        const bool mayDialAgain = sendings_.count() <= core_.endpoints.ofService(service_).size();
         if (mayDialAgain && left().count() > 0) {
             core_.log.sendingEnded(requestId_, endpoint_->record.id, toString(end), 0, {}, "dial another");
             sendNext();
@@ -490,7 +502,7 @@
         if (isForPeer && !mayHaveRun_ && !isStreaming_) {
             isResending_ = true;
             refusedAt_ = BootClock::now();
-            tried_.pop_back(); // It may be tried again, and does not count twice against the route's bound.
+            sendings_.takeBack(); // It may be tried again, and does not count twice against the route's bound.
             if (waitForGroup(*endpoint_)) {
                 core_.log.sendingEnded(requestId_, endpoint_->record.id, "not-run", status, atFault, "wait for its group");
                 return;
@@ -611,7 +623,7 @@
         callEnded(CallEnd::NotSent);
         return;
     }
-    const bool couldMove = mayRepeat() && tried_.size() < route_->maxEndpoints;
+    const bool couldMove = mayRepeat() && sendings_.mayTryAnother(route_->maxEndpoints);
     if (isOver && couldMove && core_.allowanceOf(service_).tryRetry(now)) {
         core_.connections.closeAll(endpoint_->record.id);
         mayHaveRun_ = true;
@@ -666,6 +678,11 @@
     call->cancel();
     timer_.stop();
     --endpoint_->inFlight;
+    sendingSpan_.set("status", incoming_.head.status);
+    if (sign == EndpointSign::Failed || sign == EndpointSign::Unreachable) {
+        sendingSpan_.fail(sign == EndpointSign::Failed ? "failed" : "unreachable");
+    }
+    sendingSpan_.end();
     routing::EndpointTable::signSeen(*endpoint_, sign, BootClock::now());
 }
 
@@ -721,6 +738,7 @@
     sink_ = nullptr;
     isWaiting_ = false;
     timer_.stop();
+    endSpan(outcome, status, cause);
     const BootTime now = BootClock::now();
     core_.metrics.whole.record(now - request_.receivedAt);
     core_.log.write({.requestId = requestId_,
@@ -729,8 +747,8 @@
                      .organisation = organisation_ == nullptr ? std::string_view() : std::string_view(organisation_->name),
                      .routesVersion = routes_ == nullptr ? 0 : routes_->version(),
                      .proofAge = core_.proof.age(now),
-                     .endpoint = tried_.empty() ? std::string_view() : std::string_view(tried_.back()),
-                     .sendings = sendings_,
+                     .endpoint = sendings_.lastTried(),
+                     .sendings = sendings_.count(),
                      .status = status,
                      .outcome = outcome,
                      .cause = cause,
@@ -739,4 +757,18 @@
                      .events = events_});
 }
 
+void Forwarding::endSpan(std::string_view outcome, int status, std::string_view cause)
+{
+    span_.set("outcome", outcome);
+    span_.set("status", status);
+    span_.set("service", service_);
+    if (!cause.empty()) {
+        span_.set("cause", cause);
+    }
+    if (outcome == "failed" || outcome == "cut") {
+        span_.fail(outcome);
+    }
+    span_.end();
+}
+
 } // namespace magnolia::forward
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -6,13 +6,14 @@
 #include "eventcutter.h"
 #include "forwardcore.h"
 #include "http/timer.h"
+#include "observe/trace.h"
+#include "sendings.h"
 
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace magnolia::forward
 {
@@ -61,6 +62,7 @@
     // Sendings.
     void sendNext();
     void send(const routing::EndpointPointer &endpoint);
+    void beginSendingSpan();
     std::string messageFor(const routing::Endpoint &endpoint) const;
     bool mayRepeat() const;
     bool retry(std::string_view cause);
@@ -85,6 +87,7 @@
     void fail(int status, std::string_view cause);
     void answerOwn(int status, std::optional<Duration> retryAfter, std::string_view cause);
     void cutStream(std::string_view cause);
+    void endSpan(std::string_view outcome, int status, std::string_view cause);
     void finish(std::string_view outcome, int status, std::string_view cause);
 
     BootClock::duration left() const;
@@ -104,9 +107,9 @@
     BootTime waitingEnds_; ///< It is tried again then at the latest.
     http::Timer timer_;
 
-    std::vector<std::string> tried_; ///< Ids of endpoints that are not to be tried again.
-    std::vector<std::string> sentTo_; ///< Ids of all endpoints that it was sent to.
-    std::uint32_t sendings_ = 0;
+    Sendings sendings_;
+    observe::Span span_; ///< Of the request.
+    observe::Span sendingSpan_; ///< Of the call in progress.
     bool mayHaveRun_ = false;
     bool hasRetried_ = false;
     bool isResending_ = false; ///< The next sending has to be within the retry budget.
--- a/libs/forward/src/outgoingrequest.cpp
+++ b/libs/forward/src/outgoingrequest.cpp
@@ -34,6 +34,9 @@
     if (outgoing.lastEventId) {
         headers.set(protocol.lastEventId, std::to_string(*outgoing.lastEventId));
     }
+    if (!outgoing.traceparent.empty()) {
+        headers.set("traceparent", outgoing.traceparent);
+    }
     return headers;
 }
 
--- a/libs/forward/src/outgoingrequest.h
+++ b/libs/forward/src/outgoingrequest.h
@@ -22,6 +22,7 @@
     std::string_view organisation{}; ///< Of the caller's key; empty if none was needed.
     std::optional<routing::Priority> priority{};
     std::optional<std::uint64_t> lastEventId{}; ///< A stream goes on behind this event.
+    std::string traceparent{}; ///< Of this sending's span; empty: what the caller sent is passed on.
 };
 
 /**
--- a/libs/forward/tests/forwardfixture.h
+++ b/libs/forward/tests/forwardfixture.h
@@ -52,8 +52,15 @@
 /** An entry between scripted endpoints and callers that send raw bytes. */
 struct ForwardFixture : http::LoopFixture {
     ForwardFixture()
+    {
+        restart(nullptr);
+    }
+
+    /** @param tracer outlives the task. */
+    void restart(observe::Tracer *tracer)
     {
         ForwardOptions options;
+        options.tracer = tracer;
         options.instance = "entry";
         options.dataCentre = "north";
         options.callersAddress = "127.0.0.1:0";
--- a/libs/forward/tests/forwardtest.cpp
+++ b/libs/forward/tests/forwardtest.cpp
@@ -1,5 +1,10 @@
 #include "forwardfixture.h"
 
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <string>
 
 namespace magnolia::forward
@@ -55,6 +60,37 @@
     BOOST_TEST(left > 1000);
 }
 
+BOOST_AUTO_TEST_CASE(request_spansWanted_requestAndEachSendingHaveOneOfTheSameTrace)
+{
+    const std::string file = (std::filesystem::temp_directory_path() / ("forward-spans-" + std::to_string(::getpid()))).string();
+    {
+        observe::Tracer tracer({.file = file, .service = "entry", .instance = "entry", .dataCentre = "north"}, Random(1));
+        restart(&tracer);
+        putRoutes();
+        addEndpoint([](int) { return RawPeer::Answer{.bytes = "", .then = RawPeer::Then::Close}; });
+        addEndpoint([](int) { return RawPeer::Answer{.bytes = "", .then = RawPeer::Then::Close}; });
+        const std::string trace = "0af7651916cd43dd8448eb211c80319c";
+        (void)answerTo(request("again", "GET", "traceparent: 00-" + trace + "-b7ad6b7169203331-01\r\n"), "\r\n\r\n");
+        BOOST_TEST(sendings() == 2);
+        // The endpoint hangs its own spans below that of the sending, not below the caller's.
+        BOOST_TEST(endpoints.front()->lastRequest().find("traceparent: 00-" + trace) != std::string::npos);
+        BOOST_TEST(endpoints.front()->lastRequest().find("b7ad6b7169203331") == std::string::npos);
+        task.reset();
+    }
+    std::ifstream written(file);
+    const std::string lines(std::istreambuf_iterator<char>(written), {});
+    const auto count = [&lines](const std::string &name) {
+        std::size_t found = 0;
+        for (std::size_t at = lines.find(name); at != std::string::npos; at = lines.find(name, at + 1)) {
+            ++found;
+        }
+        return found;
+    };
+    std::filesystem::remove(file);
+    BOOST_TEST(count("\"forward.request\"") == 1U);
+    BOOST_TEST(count("\"forward.sending\"") == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(key_known_isReplacedByItsHolder)
 {
     putRoutes();
--- /dev/null
+++ b/libs/group/benchmarks/coordinatorcost.cpp
@@ -0,0 +1,101 @@
+// Prints what a coordinator does for one change of map, and what it does for one report of a rank, by size of the group: the
+// processor time of each part, and the bytes that one agent is told.
+#include "group/replicaplanner.h"
+#include "groupcodec.h"
+#include "mapcourier.h"
+
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace magnolia::group;
+
+constexpr std::size_t Experts = 96;
+constexpr int Rounds = 20;
+
+struct Shape {
+    std::size_t ranks = 0;
+    std::size_t sets = 0;
+    std::size_t places = 0; ///< Of each rank in each set.
+};
+
+/** The map that a group forms with: experts in turn. */
+RankExperts firstMap(const Shape &shape)
+{
+    RankExperts map(shape.sets, std::vector<std::vector<std::uint16_t>>(shape.ranks));
+    for (auto &set : map) {
+        for (std::size_t expert = 0; expert < Experts; ++expert) {
+            set[expert % shape.ranks].push_back(static_cast<std::uint16_t>(expert));
+        }
+    }
+    return map;
+}
+
+/** Popularity falls with the rank of an expert in each set's own order, as choices of experts do. */
+std::vector<std::vector<double>> demandOf(const Shape &shape)
+{
+    std::vector<std::vector<double>> demand(shape.sets, std::vector<double>(Experts));
+    for (std::size_t set = 0; set < shape.sets; ++set) {
+        double total = 0;
+        for (std::size_t place = 0; place < Experts; ++place) {
+            const std::size_t expert = (place * 29 + set * 13) % Experts;
+            demand[set][expert] = 1 / std::pow(static_cast<double>(place + 1), 0.9);
+            total += demand[set][expert];
+        }
+        for (double &share : demand[set]) {
+            share /= total;
+        }
+    }
+    return demand;
+}
+
+template<typename F>
+double microsecondsOf(F work)
+{
+    using Clock = std::chrono::steady_clock;
+    double best = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        const auto start = Clock::now();
+        work();
+        const std::chrono::duration<double, std::micro> spent = Clock::now() - start;
+        best = round == 0 ? spent.count() : std::min(best, spent.count());
+    }
+    return best;
+}
+
+void measure(const Shape &shape)
+{
+    const std::string name = std::to_string(shape.ranks) + "_ranks_" + std::to_string(shape.sets) + "_sets";
+    const RankExperts map = firstMap(shape);
+    const auto demand = demandOf(shape);
+    const ReplicaPlanner planner({.placesPerRank = shape.places, .mostNewPerSet = 2, .mostNewPerRank = 1, .leastGain = 0.01});
+    const auto plan = planner.plan(map, demand);
+    if (!plan) {
+        std::abort();
+    }
+    MapCourier courier;
+    (void)courier.formFor({.kind = RankOrderKind::Prepare, .version = 1, .map = map}, 0);
+    const MapCourier::Form form = courier.formFor({.kind = RankOrderKind::Prepare, .version = 2, .map = plan->map}, 1);
+    const std::vector<std::uint64_t> counts(shape.sets * Experts, 300);
+    const std::string told = encodeCounts(counts);
+    std::printf("RESULT coordinator_plan_%s %.0f us\n", name.c_str(), microsecondsOf([&] { (void)planner.plan(map, demand); }));
+    std::printf("RESULT coordinator_look_%s %.0f us\n", name.c_str(), microsecondsOf([&] { (void)ReplicaPlanner::load(map, demand); }));
+    std::printf("RESULT coordinator_counts_%s %.0f us\n", name.c_str(), microsecondsOf([&] { (void)decodeCounts(told); }));
+    std::printf("RESULT coordinator_whole_map_%s %zu bytes\n", name.c_str(), encodeMap(plan->map).size());
+    std::printf("RESULT coordinator_change_of_map_%s %zu bytes\n", name.c_str(), form.map.size());
+}
+
+} // namespace
+
+int main()
+{
+    measure({.ranks = 12, .sets = 3, .places = 11});
+    measure({.ranks = 24, .sets = 16, .places = 5});
+    measure({.ranks = 48, .sets = 32, .places = 4});
+}
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -51,6 +51,7 @@
     MetricsSettings metrics;
     GraceSettings grace;
     observe::LogOptions log;
+    TracesSettings traces;
 };
 
 /** Settings of an agent that takes part in its engine's group. */
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -252,6 +252,7 @@
     file.section("metrics", out.metrics);
     file.section("grace", out.grace);
     file.section("log", out.log);
+    file.section("traces", out.traces);
 }
 
 void readFile(FileReader &file, GroupSettings &out)
