forward: streams in progress are limited where fewer would all be in time

`ConcurrencyLimit` lowers the number of an entry's own streams after a pause that is too long, if the engines' published step model says that at least half of the places could have stayed in use; it grows by 2.5% a second. Whoever finds no place waits for half of its objective and is then refused as not run, with the time to come back. Test failed without it (a ninth stream was sent).

--- a/libs/ctl/tests/deploymenttest.cpp
+++ b/libs/ctl/tests/deploymenttest.cpp
@@ -52,26 +52,26 @@
         return config;
     }
 
-    void readRouting(Callback<routing::RoutingConfig> done)
+    void readRouting(const Callback<routing::RoutingConfig> &done)
     {
         answer(routingOf(7), done);
     }
-    void listEndpoints(Callback<std::vector<routing::EndpointRecord>> done)
+    void listEndpoints(const Callback<std::vector<routing::EndpointRecord>> &done)
     {
         using Records = std::vector<routing::EndpointRecord>;
         answer(Records{{.id = "i-1", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4},
                        {.id = "i-2", .service = "s", .address = "10.0.0.2:80", .dataCentre = "west", .slots = 4, .isLeaving = true}},
                done);
     }
-    void listEntries(Callback<std::vector<EntryRecord>> done)
+    void listEntries(const Callback<std::vector<EntryRecord>> &done)
     {
         answer(std::vector<EntryRecord>{{.name = "entry-a", .address = "10.0.0.9:7341", .age = Duration(1500)}}, done);
     }
-    void listGroups(Callback<std::vector<GroupRecord>> done)
+    void listGroups(const Callback<std::vector<GroupRecord>> &done)
     {
         answer(std::vector<GroupRecord>{{.group = "g0", .coordinator = "side-a", .term = 29}}, done);
     }
-    void readRank(const std::string &address, Callback<group::RankState> done)
+    void readRank(const std::string &address, const Callback<group::RankState> &done)
     {
         const std::uint32_t rank = address == "10.0.0.1:80" ? 1 : 0;
         if (rank == 0 && isSecondSilent) {
@@ -80,7 +80,7 @@
         }
         answer(group::RankState{.group = "g0", .epoch = 1, .rank = rank, .size = 2, .isOpen = true, .step = 812, .map = 4}, done);
     }
-    void readHeld(const std::string & /*address*/, Callback<group::HeldExperts> done)
+    void readHeld(const std::string & /*address*/, const Callback<group::HeldExperts> &done)
     {
         answer(group::HeldExperts{.epoch = 1, .version = 4, .experts = {{0, 1}}}, done);
     }
--- a/libs/forward/benchmarks/forwardcost.cpp
+++ b/libs/forward/benchmarks/forwardcost.cpp
@@ -156,8 +156,13 @@
         evbuffer *input = bufferevent_get_input(connection_.get());
         std::string bytes(evbuffer_get_length(input), '\0');
         evbuffer_remove(input, bytes.data(), bytes.size());
-        if (bytes.ends_with("0\r\n\r\n") && --left_ > 0) {
+        if (!bytes.ends_with("0\r\n\r\n")) {
+            return;
+        }
+        if (--left_ > 0) {
             ask();
+        } else {
+            event_base_loopbreak(bufferevent_get_base(connection_.get()));
         }
     }
 
@@ -180,12 +185,11 @@
     }
     int left = load.streams;
     std::vector<std::unique_ptr<Caller>> callers;
+    callers.reserve(Streams);
     for (int number = 0; number < Streams; ++number) {
         callers.push_back(std::make_unique<Caller>(loop.get(), entry.data(), left));
     }
-    while (left > 0) {
-        event_base_loop(loop.get(), EVLOOP_ONCE);
-    }
+    event_base_dispatch(loop.get()); // Until a caller breaks it.
     std::_Exit(0);
 }
 
--- a/libs/forward/src/forwardcore.h
+++ b/libs/forward/src/forwardcore.h
@@ -6,9 +6,11 @@
 #include "forward/forwardtask.h"
 #include "forwardmetrics.h"
 #include "http/timer.h"
+#include "placequeue.h"
 #include "requestlog.h"
 
 #include <functional>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -86,6 +88,15 @@
         return allowances.emplace(service, allowance).first->second;
     }
 
+    PlaceQueue &placesOf(std::string_view service)
+    {
+        const auto found = places.find(service);
+        if (found != places.end()) {
+            return *found->second;
+        }
+        return *places.emplace(service, std::make_unique<PlaceQueue>(loop)).first->second;
+    }
+
     void setInstances(std::size_t number)
     {
         instances = number;
@@ -100,6 +111,7 @@
     routing::EndpointTable endpoints;
     routing::RoutingProof proof;
     routing::TextMap<routing::RetryAllowance> allowances; ///< By service.
+    routing::TextMap<std::unique_ptr<PlaceQueue>> places; ///< By service.
     std::size_t instances = 0; ///< That share the retry budget; 0: not known yet.
     routing::TextMap<BootTime> servedAt; ///< By service: when an endpoint last began a good answer.
     EndpointConnections connections;
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -55,6 +55,10 @@
 constexpr Duration LongestIdleAtMostOnce{1000};
 constexpr Duration LongestIdle{60000};
 
+// A stream waits for a place for half of its objective: its first event comes in about the other half.
+constexpr int ObjectiveParts = 2;
+constexpr routing::Priority MiddlePriority = 5; // Of a request that states none, as endpoints take it.
+
 // News of routes and endpoints is waited for so long at most, and for a third of what the caller allows: after that it can
 // still try another instance.
 constexpr Duration LongestWait{1500};
@@ -63,6 +67,7 @@
 // With nobody to send to, or only refusals: engines that restart are back after about a second.
 constexpr Duration RetryAfterUnavailable{800};
 constexpr Duration RetryAfterNoProof{1000};
+constexpr Duration RetryAfterFull{1000}; // Streams last one to two seconds.
 // A group that did not come back while its caller waited lacks a rank, which is restarted or replaced within some seconds.
 constexpr Duration RetryAfterGroup{1800};
 constexpr Duration RetryAfterStopping{50}; // Another instance takes it at once.
@@ -152,7 +157,27 @@
     if (const auto resumed = numberOf(request_.head.headers.value(core_.options.protocol.lastEventId))) {
         cutter_.startAfter(*resumed);
     }
-    sendNext();
+    takePlace();
+}
+
+/** A stream takes a place among those in progress, or waits for one as long as it could still be in time. */
+void Forwarding::takePlace()
+{
+    PlaceQueue &places = core_.placesOf(service_);
+    const BootTime now = BootClock::now();
+    if (route_->kind != RouteKind::Stream || places.hasRoom(now)) {
+        sendNext();
+        return;
+    }
+    isWaitingForPlace_ = true;
+    placeEnds_ = request_.receivedAt + route_->latencyObjective / ObjectiveParts;
+    places.wait(priority().value_or(MiddlePriority), now, [waiting = weak_from_this()] {
+        const auto self = waiting.lock();
+        if (self != nullptr && std::exchange(self->isWaitingForPlace_, false)) {
+            self->sendNext();
+        }
+    });
+    startTimer();
 }
 
 /** @return false if there is nothing to wait for, or the time for it is over. */
@@ -320,6 +345,7 @@
                                                                    .onBody = [this](std::string_view piece) { bodyCame(piece); },
                                                                    .onEnd = [this](CallEnd end) { callEnded(end); }});
     ++endpoint->inFlight;
+    core_.placesOf(service_).began();
     core_.metrics.sendings.add();
     if (!call_->start()) {
         callEnded(CallEnd::NotSent);
@@ -336,15 +362,19 @@
     }
 }
 
+std::optional<routing::Priority> Forwarding::priority() const
+{
+    return organisation_ != nullptr && organisation_->priority ? organisation_->priority : route_->priority;
+}
+
 std::string Forwarding::messageFor(const routing::Endpoint &endpoint) const
 {
-    const auto priority = organisation_ != nullptr && organisation_->priority ? organisation_->priority : route_->priority;
     return writeRequest(core_.options.protocol,
                         {.request = &request_,
                          .expectedInstance = endpoint.record.id,
                          .left = std::chrono::duration_cast<Duration>(left()),
                          .organisation = organisation_ == nullptr ? std::string_view() : std::string_view(organisation_->name),
-                         .priority = route_->kind == RouteKind::Stream ? priority : std::nullopt,
+                         .priority = route_->kind == RouteKind::Stream ? priority() : std::nullopt,
                          .lastEventId = cutter_.lastId(),
                          .traceparent = sendingSpan_.traceparent()});
 }
@@ -384,6 +414,7 @@
     if (protocol.parseLoad != nullptr) {
         if (const auto load = protocol.parseLoad(head.headers.value(protocol.load))) {
             routing::EndpointTable::reported(*endpoint_, *load, heardAt_);
+            core_.placesOf(service_).limit.reported(*load, heardAt_);
         }
     }
     incoming_.head = head;
@@ -435,6 +466,7 @@
     if (sink_ == nullptr) {
         return;
     }
+    judgePause();
     ++events_;
     sink_->sendPiece(events);
     if (sink_ != nullptr && call_ != nullptr && sink_->pendingBytes() > MostPendingBytes) {
@@ -442,6 +474,19 @@
     }
 }
 
+/** Tells the service's limit of the time between two events. */
+void Forwarding::judgePause()
+{
+    const BootTime before = std::exchange(eventAt_, heardAt_);
+    const routing::Service *service = routes_->service(service_);
+    if (events_ == 0 || service == nullptr || !service->steps) {
+        return;
+    }
+    PlaceQueue &places = core_.placesOf(service_);
+    places.limit.paused({.pause = heardAt_ - before, .objective = route_->pauseObjective, .inProgress = places.inProgress(), .steps = *service->steps},
+                        heardAt_);
+}
+
 void Forwarding::callerDrained()
 {
     if (call_ != nullptr) {
@@ -579,6 +624,7 @@
 {
     const BootTime now = BootClock::now();
     BootTime next = isWaiting_ ? std::min(deadline_, waitingEnds_) : deadline_;
+    next = isWaitingForPlace_ ? std::min(next, placeEnds_) : next;
     if (call_ != nullptr) {
         const BootTime bound = patienceEnds();
         // A bound that has passed without effect, e.g. for want of retry budget, is looked at again now and then.
@@ -610,6 +656,10 @@
         giveUp();
         return;
     }
+    if (isWaitingForPlace_ && now >= placeEnds_) {
+        refuse(StatusUnavailable, RetryAfterFull, "its service has as many streams in progress as stay in time");
+        return;
+    }
     if (isWaiting_ && now >= waitingEnds_) {
         endWaiting();
         return;
@@ -678,6 +728,7 @@
     call->cancel();
     timer_.stop();
     --endpoint_->inFlight;
+    core_.placesOf(service_).ended();
     sendingSpan_.set("status", incoming_.head.status);
     if (sign == EndpointSign::Failed || sign == EndpointSign::Unreachable) {
         sendingSpan_.fail(sign == EndpointSign::Failed ? "failed" : "unreachable");
@@ -737,6 +788,7 @@
 {
     sink_ = nullptr;
     isWaiting_ = false;
+    isWaitingForPlace_ = false;
     timer_.stop();
     endSpan(outcome, status, cause);
     const BootTime now = BootClock::now();
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -49,6 +49,7 @@
 
     // Admission.
     void admit();
+    void takePlace();
     bool waitForNews();
     bool waitForGroup(const routing::Endpoint &endpoint);
     void beginWaiting(BootTime until);
@@ -63,6 +64,7 @@
     void sendNext();
     void send(const routing::EndpointPointer &endpoint);
     void beginSendingSpan();
+    std::optional<routing::Priority> priority() const;
     std::string messageFor(const routing::Endpoint &endpoint) const;
     bool mayRepeat() const;
     bool retry(std::string_view cause);
@@ -73,6 +75,7 @@
     void callEnded(CallEnd end);
     void wholeAnswerCame();
     void streamPieceCame(std::string_view piece);
+    void judgePause();
     void streamEnded(CallEnd end);
     void passOn(HeldAnswer answer);
 
@@ -103,6 +106,8 @@
     BootTime deadline_; ///< The final answer is due by then.
     BootTime waitUntil_; ///< News of routes and endpoints is waited for no longer.
     bool isWaiting_ = false;
+    bool isWaitingForPlace_ = false;
+    BootTime placeEnds_; ///< It is refused if it has no place then.
     bool isRegistered_ = false; ///< Among those who wait for the next news.
     BootTime waitingEnds_; ///< It is tried again then at the latest.
     http::Timer timer_;
@@ -125,6 +130,7 @@
     bool isStreamAnswer_ = false; ///< The call's answer is a stream of events.
     EventCutter cutter_;
     std::uint64_t events_ = 0;
+    BootTime eventAt_; ///< When the last one was passed on.
     BootTime firstByteAt_;
 };
 
--- a/libs/forward/tests/forwardfixture.h
+++ b/libs/forward/tests/forwardfixture.h
@@ -7,7 +7,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstdio>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -65,6 +67,11 @@
         options.dataCentre = "north";
         options.callersAddress = "127.0.0.1:0";
         options.readyAddress = "127.0.0.1:0";
+        options.protocol.parseLoad = [](std::string_view value) -> std::optional<routing::LoadReport> {
+            routing::LoadReport load;
+            const std::string text(value);
+            return std::sscanf(text.c_str(), "%u,%u,%u", &load.running, &load.waiting, &load.slots) == 3 ? std::optional(load) : std::nullopt;
+        };
         options.proof.bound = Duration(60000);
         options.retries = {.share = 1, .constant = 160, .window = Duration(10000)};
         options.grace = Duration(4000);
@@ -96,11 +103,12 @@
         config.routes = {route("again", routing::RouteKind::Idempotent, 2), route("once", routing::RouteKind::AtMostOnce, 2)};
         config.routes.push_back(route("stream", routing::RouteKind::Stream, 2));
         config.routes.back().isResumable = true;
+        config.routes.back().pauseObjective = Duration(200);
         config.routes.push_back(route("threefold", routing::RouteKind::Stream, 3));
         config.routes.back().isResumable = true;
         config.routes.push_back(route("keyed", routing::RouteKind::Idempotent, 2));
         config.routes.back().isPublic = false;
-        config.services = {{.name = "s"}};
+        config.services = {{.name = "s", .steps = routing::StepModel{.slots = 10, .stepMs = 0.1, .perRequestMs = 1}}};
         config.organisations = {{.name = "south", .keys = {"k1"}, .priority = {}}};
         config.limits.maxBodyBytes = 1000;
         config.limits.maxHeaderBytes = 2000;
--- a/libs/forward/tests/forwardtest.cpp
+++ b/libs/forward/tests/forwardtest.cpp
@@ -407,6 +407,36 @@
     BOOST_TEST(runUntil([&] { return caller.received().ends_with("0\r\n\r\n"); }));
 }
 
+// Symptom: on a day of high load all streams were late. Sequence: each further stream made the passes of all a little longer,
+// beyond the pause that their route allows; the longer they took, the more were in progress. Cause: every stream was let in.
+BOOST_AUTO_TEST_CASE(streams_pauseTooLongUnderLoad_furtherOnesAreRefusedAsNotRun)
+{
+    putRoutes();
+    const std::string loaded = "X-Load: 9,0,10\r\n";
+    RawPeer &endpoint = addEndpoint([&](int) {
+        std::string head = streamHead("r1");
+        head.insert(head.size() - 2, loaded);
+        return RawPeer::Answer{.bytes = head + eventChunk(1)};
+    });
+    for (int stream = 0; stream < 8; ++stream) {
+        (void)call(request("stream"));
+    }
+    BOOST_REQUIRE(runUntil([&] { return endpoint.requests() == 8 && has(callers.back()->received(), "data: d1"); }));
+    runFor(Duration(230)); // The route allows 200 ms.
+    endpoint.sendOnAll(eventChunk(2));
+    BOOST_REQUIRE(runUntil([&] { return has(callers.back()->received(), "data: d2"); }));
+    const BootTime asked = BootClock::now();
+    const std::string refused = answerTo(request("stream"), "\r\n\r\n");
+    BOOST_TEST(refused.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(has(refused, "Retry-After"));
+    BOOST_TEST((BootClock::now() - asked < Duration(280))); // Half of the objective, and no longer.
+    BOOST_TEST(endpoint.requests() == 8);
+    endpoint.sendOnAll(LastChunk);
+    BOOST_REQUIRE(runUntil([&] { return has(callers.front()->received(), LastChunk); }));
+    runFor(Duration(50));
+    BOOST_TEST(has(answerTo(request("stream"), "data: d1"), "data: d1"));
+}
+
 BOOST_AUTO_TEST_CASE(stream_cutWithinAnEvent_goesOnBehindTheLastWholeOne)
 {
     // Symptom: a stream had a piece twice, or pieces of two runs in one event. Sequence: an endpoint died within an event,
