forward: a log line and a counter for the limit of streams; docs

Cause: the limit changed what an entry believes without a line, so that a refused caller could be explained only by guess. The queue's limit is reached by a function, no longer a public member. No decision changed. Tests of routing and forward passed.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -414,7 +414,7 @@
     if (protocol.parseLoad != nullptr) {
         if (const auto load = protocol.parseLoad(head.headers.value(protocol.load))) {
             routing::EndpointTable::reported(*endpoint_, *load, heardAt_);
-            core_.placesOf(service_).limit.reported(*load, heardAt_);
+            core_.placesOf(service_).limit().reported(*load, heardAt_);
         }
     }
     incoming_.head = head;
@@ -483,8 +483,11 @@
         return;
     }
     PlaceQueue &places = core_.placesOf(service_);
-    places.limit.paused({.pause = heardAt_ - before, .objective = route_->pauseObjective, .inProgress = places.inProgress(), .steps = *service->steps},
-                        heardAt_);
+    const routing::ConcurrencyLimit::Pause pause{
+        .pause = heardAt_ - before, .objective = route_->pauseObjective, .inProgress = places.inProgress(), .steps = *service->steps};
+    if (places.limit().paused(pause, heardAt_)) {
+        core_.log.limited(service_, pause.pause, pause.inProgress, places.limit().limit(heardAt_).value_or(0));
+    }
 }
 
 void Forwarding::callerDrained()
@@ -657,6 +660,7 @@
         return;
     }
     if (isWaitingForPlace_ && now >= placeEnds_) {
+        core_.metrics.withoutPlace.add();
         refuse(StatusUnavailable, RetryAfterFull, "its service has as many streams in progress as stay in time");
         return;
     }
--- a/libs/forward/src/forwardmetrics.h
+++ b/libs/forward/src/forwardmetrics.h
@@ -17,6 +17,7 @@
         , retriesDenied(metrics.counter("magnolia_forward_retries_denied_total", "Retries that the shared budget did not allow."))
         , answers(metrics.counter("magnolia_forward_answers_total", "Endpoints' answers passed on whole."))
         , refusals(metrics.counter("magnolia_forward_refusals_total", "Requests refused as not run."))
+        , withoutPlace(metrics.counter("magnolia_forward_without_place_total", "Streams refused since as many are in progress as stay in time."))
         , failures(metrics.counter("magnolia_forward_failures_total", "Requests that ended without a whole answer and may have run."))
         , hangups(metrics.counter("magnolia_forward_hangups_total", "Requests whose callers left."))
         , resumed(metrics.counter("magnolia_forward_streams_resumed_total", "Streams that went on at another endpoint."))
@@ -34,6 +35,7 @@
     observe::Counter &retriesDenied;
     observe::Counter &answers;
     observe::Counter &refusals;
+    observe::Counter &withoutPlace;
     observe::Counter &failures;
     observe::Counter &hangups;
     observe::Counter &resumed;
--- a/libs/forward/src/placequeue.h
+++ b/libs/forward/src/placequeue.h
@@ -34,7 +34,7 @@
     /** For one that has not waited: there is a place, and nobody waits for it. */
     bool hasRoom(BootTime now) const
     {
-        return waiting_.empty() && limit.hasRoom(inProgress_, now);
+        return waiting_.empty() && limit_.hasRoom(inProgress_, now);
     }
 
     void wait(routing::Priority priority, BootTime since, Wake wake)
@@ -63,7 +63,10 @@
         return inProgress_;
     }
 
-    routing::ConcurrencyLimit limit{{}};
+    routing::ConcurrencyLimit &limit()
+    {
+        return limit_;
+    }
 
 private:
     // A level of urgency goes before whatever came so much later; callers wait some tenths of a second in all.
@@ -72,7 +75,7 @@
 
     void wake()
     {
-        while (!waiting_.empty() && limit.hasRoom(inProgress_, BootClock::now())) {
+        while (!waiting_.empty() && limit_.hasRoom(inProgress_, BootClock::now())) {
             const Wake first = std::move(waiting_.begin()->second);
             waiting_.erase(waiting_.begin());
             first();
@@ -83,6 +86,7 @@
     }
 
     http::Timer timer_;
+    routing::ConcurrencyLimit limit_{{}};
     std::multimap<BootTime, Wake> waiting_; ///< By the time from which on it counts as waiting.
     std::size_t inProgress_ = 0;
 };
--- a/libs/routing/include/routing/concurrencylimit.h
+++ b/libs/routing/include/routing/concurrencylimit.h
@@ -52,7 +52,8 @@
         StepModel steps{}; ///< Of the service's engines.
     };
 
-    void paused(const Pause &pause, BootTime now);
+    /** @return true if the limit fell for it. */
+    bool paused(const Pause &pause, BootTime now);
 
     bool hasRoom(std::size_t inProgress, BootTime now) const
     {
--- a/libs/routing/src/concurrencylimit.cpp
+++ b/libs/routing/src/concurrencylimit.cpp
@@ -19,21 +19,22 @@
     useAt_ = now;
 }
 
-void ConcurrencyLimit::paused(const Pause &pause, BootTime now)
+bool ConcurrencyLimit::paused(const Pause &pause, BootTime now)
 {
     const bool isTooLong = pause.objective.count() > 0 && pause.pause > pause.objective;
     const bool isKnown = useWeight_ > 0 && pause.steps.perRequestMs > 0;
     if (!isTooLong || !isKnown || now < loweredAt_ + options_.decreaseInterval) {
-        return;
+        return false;
     }
     const double use = use_ / useWeight_;
     const double wanted = wantedUse(pause, use);
     if (wanted < options_.leastUse) {
-        return;
+        return false;
     }
     const double part = std::max(wanted / use, options_.mostDecrease);
     limit_ = std::max(static_cast<double>(pause.inProgress) * part, options_.least);
     loweredAt_ = now;
+    return true;
 }
 
 /** @return part of the engines' places with which the same pass would have been in time. */
