--- a/libs/routing/include/routing/concurrencylimit.h
+++ b/libs/routing/include/routing/concurrencylimit.h
@@ -22,6 +22,10 @@
  * pass in time: if that is less than half of the engines' places, the pause has another cause (demand that has just moved, a
  * rank that is gone or held), fewer streams would not help, and nobody is refused for it. Pure. Not thread-safe.
  *
+ * What it buys, on played days: with three groups of 24 ranks at high load 0.64 of the worth owed instead of 0.51, a tenth of
+ * the requests being refused; with one group of 12 ranks nothing. Growth and fall were chosen there: growth of 6% a second gave
+ * 0.63 and 1.2% 0.55, a fall to 0.78 gave 0.60.
+ *
  * @code
  * limit.paused({.pause = gap, .objective = route.pauseObjective, .inProgress = inProgress, .steps = steps}, now);
  * if (!limit.hasRoom(inProgress, now)) { wait(); }
