--- a/apps/magnolia-agent/main.cpp
+++ b/apps/magnolia-agent/main.cpp
@@ -2,16 +2,12 @@
 #include "agent/agenttask.h"
 #include "http/eventhandles.h"
 #include "observe/log.h"
-#include "settings/settings.h"
+#include "settings/startup.h"
 #include "store/httpinstances.h"
 #include "store/httpobjects.h"
 #include "store/httptable.h"
 
-#include <getopt.h>
-
 #include <csignal>
-#include <iostream>
-#include <optional>
 #include <string>
 
 namespace
@@ -19,9 +15,8 @@
 
 using namespace magnolia;
 
-constexpr int ExitOk = 0;
-constexpr int ExitFailed = 1;
-constexpr int ExitBadInput = 2;
+using settings::ExitFailed;
+using settings::ExitOk;
 
 constexpr const char *Usage = R"(Usage: magnolia-agent --settings FILE [--check-settings]
 
@@ -36,46 +31,6 @@
 Exit codes: 0 stopped as planned, 1 failed to start, 2 wrong arguments or settings.
 )";
 
-struct Arguments {
-    std::string settingsFile;
-    bool checkOnly = false;
-    std::optional<int> exitCode; ///< Set if there is nothing more to do.
-};
-
-Arguments parseArguments(int argc, char **argv)
-{
-    const option options[] = {{"settings", required_argument, nullptr, 's'},
-                              {"check-settings", no_argument, nullptr, 'c'},
-                              {"help", no_argument, nullptr, 'h'},
-                              {"version", no_argument, nullptr, 'v'},
-                              {nullptr, 0, nullptr, 0}};
-    Arguments arguments;
-    int found = 0;
-    while ((found = getopt_long(argc, argv, "", options, nullptr)) != -1) {
-        switch (found) {
-        case 's':
-            arguments.settingsFile = optarg;
-            break;
-        case 'c':
-            arguments.checkOnly = true;
-            break;
-        case 'h':
-            std::cout << Usage;
-            return {.settingsFile = {}, .checkOnly = false, .exitCode = ExitOk};
-        case 'v':
-            std::cout << "magnolia-agent " << MAGNOLIA_VERSION << '\n';
-            return {.settingsFile = {}, .checkOnly = false, .exitCode = ExitOk};
-        default:
-            return {.settingsFile = {}, .checkOnly = false, .exitCode = ExitBadInput};
-        }
-    }
-    if (optind < argc || arguments.settingsFile.empty()) {
-        std::cerr << "magnolia-agent: give --settings FILE and nothing else; see --help\n";
-        arguments.exitCode = ExitBadInput;
-    }
-    return arguments;
-}
-
 agent::AgentOptions agentOptions(const settings::AgentSettings &settings)
 {
     agent::AgentOptions options;
@@ -98,9 +53,7 @@
 void hideSecrets(const settings::AgentSettings &settings)
 {
     observe::hideFromLogs(settings.operators.key);
-    for (const settings::LinkKeySettings &key : settings.links.keys) {
-        observe::hideFromLogs(key.secret);
-    }
+    settings::hideFromLogs(settings.links);
 }
 
 http::EventPtr drainOn(int signal, event_base *loop, agent::AgentTask &task)
@@ -118,12 +71,7 @@
     store::HttpObjects objects(loop.get(), {.address = settings.platform.objects});
     store::HttpInstances instances(loop.get(), {.address = settings.platform.instances});
     observe::Metrics metrics;
-    observe::Tracer tracer({.file = settings.traces.file,
-                            .service = "magnolia-agent",
-                            .instance = settings.instance.name,
-                            .dataCentre = settings.instance.dataCentre,
-                            .samplingRatio = settings.traces.samplingRatio},
-                           seededRandom());
+    observe::Tracer tracer(settings::tracerOptions(settings, "magnolia-agent"), seededRandom());
     const auto task = agent::AgentTask::start(
         loop.get(), agentOptions(settings), agent::portsOf(table, objects, instances), metrics, tracer, [&loop] { event_base_loopbreak(loop.get()); });
     if (!task) {
@@ -140,20 +88,10 @@
 
 int main(int argc, char **argv)
 {
-    const Arguments arguments = parseArguments(argc, argv);
-    if (arguments.exitCode) {
-        return *arguments.exitCode;
-    }
-    const auto settings = settings::load<settings::AgentSettings>(arguments.settingsFile);
+    const settings::DaemonText text{.name = "magnolia-agent", .version = MAGNOLIA_VERSION, .usage = Usage};
+    const auto settings = settings::settingsFor<settings::AgentSettings>(settings::parseCommandLine(argc, argv, text));
     if (!settings) {
-        for (const settings::Problem &problem : settings.error()) {
-            std::cerr << toString(problem) << '\n';
-        }
-        return ExitBadInput;
-    }
-    if (arguments.checkOnly) {
-        std::cout << arguments.settingsFile << ": the settings are good\n";
-        return ExitOk;
+        return settings.error();
     }
     // A peer that closes its connection while it is written to must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
--- a/apps/magnolia-entry/main.cpp
+++ b/apps/magnolia-entry/main.cpp
@@ -1,18 +1,15 @@
 // magnolia-entry: takes callers' requests and dispatches them to the agents. A thin main over libs/entry.
 #include "entry/entrytask.h"
 #include "observe/log.h"
-#include "settings/settings.h"
+#include "settings/startup.h"
 #include "store/httpinstances.h"
 #include "store/httpobjects.h"
 #include "store/httptable.h"
 
 #include <event2/event.h>
-#include <getopt.h>
 
 #include <csignal>
-#include <iostream>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace
@@ -20,9 +17,8 @@
 
 using namespace magnolia;
 
-constexpr int ExitOk = 0;
-constexpr int ExitFailed = 1;
-constexpr int ExitBadInput = 2;
+using settings::ExitFailed;
+using settings::ExitOk;
 
 constexpr const char *Usage = R"(Usage: magnolia-entry --settings FILE [--check-settings]
 
@@ -37,54 +33,6 @@
 Exit codes: 0 stopped as planned, 1 failed to start, 2 wrong arguments or settings.
 )";
 
-struct CommandLine {
-    std::string settingsFile;
-    bool checkOnly = false;
-    std::optional<int> exitCode; ///< Set if there is nothing more to do.
-};
-
-CommandLine parseCommandLine(int argc, char **argv)
-{
-    enum Option : int {
-        Settings = 1,
-        CheckSettings,
-        Help,
-        Version,
-    };
-    const option options[] = {{"settings", required_argument, nullptr, Settings},
-                              {"check-settings", no_argument, nullptr, CheckSettings},
-                              {"help", no_argument, nullptr, Help},
-                              {"version", no_argument, nullptr, Version},
-                              {nullptr, 0, nullptr, 0}};
-    CommandLine line;
-    for (int found = getopt_long(argc, argv, "", options, nullptr); found != -1; found = getopt_long(argc, argv, "", options, nullptr)) {
-        switch (found) {
-        case Settings:
-            line.settingsFile = optarg;
-            break;
-        case CheckSettings:
-            line.checkOnly = true;
-            break;
-        case Help:
-            std::cout << Usage;
-            line.exitCode = ExitOk;
-            return line;
-        case Version:
-            std::cout << "magnolia-entry " << MAGNOLIA_VERSION << '\n';
-            line.exitCode = ExitOk;
-            return line;
-        default:
-            line.exitCode = ExitBadInput;
-            return line;
-        }
-    }
-    if (optind < argc || line.settingsFile.empty()) {
-        std::cerr << "magnolia-entry: give --settings FILE and nothing else; see --help\n";
-        line.exitCode = ExitBadInput;
-    }
-    return line;
-}
-
 entry::EntryOptions entryOptions(const settings::EntrySettings &settings)
 {
     entry::EntryOptions options;
@@ -107,9 +55,7 @@
 void hideSecrets(const settings::EntrySettings &settings)
 {
     observe::hideFromLogs(settings.operators.key);
-    for (const settings::LinkKeySettings &key : settings.links.keys) {
-        observe::hideFromLogs(key.secret);
-    }
+    settings::hideFromLogs(settings.links);
 }
 
 struct FreeLoop {
@@ -143,12 +89,7 @@
     store::HttpObjects objects(loop.get(), {.address = settings.platform.objects});
     store::HttpInstances instances(loop.get(), {.address = settings.platform.instances});
     observe::Metrics metrics;
-    observe::Tracer tracer({.file = settings.traces.file,
-                            .service = "magnolia-entry",
-                            .instance = settings.instance.name,
-                            .dataCentre = settings.instance.dataCentre,
-                            .samplingRatio = settings.traces.samplingRatio},
-                           seededRandom());
+    observe::Tracer tracer(settings::tracerOptions(settings, "magnolia-entry"), seededRandom());
     auto task = entry::EntryTask::start(
         loop.get(), entryOptions(settings), entry::portsOf(table, objects, instances), metrics, tracer, [&loop] { event_base_loopbreak(loop.get()); });
     if (!task) {
@@ -165,20 +106,10 @@
 
 int main(int argc, char **argv)
 {
-    const CommandLine line = parseCommandLine(argc, argv);
-    if (line.exitCode) {
-        return *line.exitCode;
-    }
-    const auto settings = settings::load<settings::EntrySettings>(line.settingsFile);
+    const settings::DaemonText text{.name = "magnolia-entry", .version = MAGNOLIA_VERSION, .usage = Usage};
+    const auto settings = settings::settingsFor<settings::EntrySettings>(settings::parseCommandLine(argc, argv, text));
     if (!settings) {
-        for (const settings::Problem &problem : settings.error()) {
-            std::cerr << toString(problem) << '\n';
-        }
-        return ExitBadInput;
-    }
-    if (line.checkOnly) {
-        std::cout << line.settingsFile << ": the settings are good\n";
-        return ExitOk;
+        return settings.error();
     }
     // A caller that closes its connection while it is written to must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
--- a/apps/magnoliactl/main.cpp
+++ b/apps/magnoliactl/main.cpp
@@ -5,7 +5,7 @@
 #include "ctl/platformcommands.h"
 #include "deploymentreader.h"
 #include "http/eventhandles.h"
-#include "settings/settings.h"
+#include "settings/startup.h"
 #include "store/httpinstances.h"
 #include "store/httpobjects.h"
 #include "store/httptable.h"
@@ -22,11 +22,8 @@
 
 ExitCode runWithSettings(const CommandLine &line, Output &output)
 {
-    const auto settings = settings::load<settings::CtlSettings>(line.settingsFile);
+    const auto settings = settings::loadOrPrint<settings::CtlSettings>(line.settingsFile);
     if (!settings) {
-        for (const settings::Problem &problem : settings.error()) {
-            std::cerr << settings::toString(problem) << '\n';
-        }
         return ExitCode::BadInput;
     }
     if (line.checkSettings) {
