forward, routing: a request keeps its places and step model; one state of waiting; spans apart

Cause: for each event of a stream a service was looked up by name twice and its step model was copied, to find in most cases that the pause was in time. Both are found once, when the service is picked. A request had two flags and two ends for waits of which it can have one at a time: now one state and one end. The spans of a request have a class of their own, so that forwarding.cpp no longer writes them out. RetryAllowance derives its part of the constant from the number of instances instead of keeping both; the entry's core kept a third copy. mostDecrease, which was the least that is left, is named so. No decision changed; tests keep their assertions (the step model is an argument now).

--- a/libs/forward/src/forwardcore.h
+++ b/libs/forward/src/forwardcore.h
@@ -81,11 +81,7 @@
         if (found != allowances.end()) {
             return found->second;
         }
-        routing::RetryAllowance allowance(options.retries);
-        if (instances > 0) {
-            allowance.setInstances(instances);
-        }
-        return allowances.emplace(service, allowance).first->second;
+        return allowances.emplace(service, routing::RetryAllowance(options.retries)).first->second;
     }
 
     PlaceQueue &placesOf(std::string_view service)
@@ -97,11 +93,11 @@
         return *places.emplace(service, std::make_unique<PlaceQueue>(loop)).first->second;
     }
 
-    void setInstances(std::size_t number)
+    void setInstances(std::size_t instances)
     {
-        instances = number;
+        options.retries.instances = instances;
         for (auto &[service, allowance] : allowances) {
-            allowance.setInstances(number);
+            allowance.setInstances(instances);
         }
     }
 
@@ -112,7 +108,6 @@
     routing::RoutingProof proof;
     routing::TextMap<routing::RetryAllowance> allowances; ///< By service.
     routing::TextMap<std::unique_ptr<PlaceQueue>> places; ///< By service.
-    std::size_t instances = 0; ///< That share the retry budget; 0: not known yet.
     routing::TextMap<BootTime> servedAt; ///< By service: when an endpoint last began a good answer.
     EndpointConnections connections;
     Random random;
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -91,6 +91,15 @@
     return target.substr(0, target.find('?'));
 }
 
+/** @return empty if it is no sign of sickness. */
+std::string_view failureOf(EndpointSign sign)
+{
+    if (sign == EndpointSign::Failed) {
+        return "failed";
+    }
+    return sign == EndpointSign::Unreachable ? "unreachable" : "";
+}
+
 std::optional<std::uint64_t> numberOf(std::string_view text)
 {
     std::uint64_t number = 0;
@@ -107,6 +116,7 @@
     , request_(std::move(request))
     , requestId_(request_.head.headers.value(core.options.protocol.requestId))
     , timer_(core.loop, [this] { timerFired(); })
+    , spans_(core.options.tracer)
 {
     core_.metrics.requests.add();
     core_.metrics.inProgress.add(1);
@@ -123,11 +133,7 @@
 void Forwarding::start()
 {
     const auto self = shared_from_this();
-    if (core_.options.tracer != nullptr) {
-        const auto parent = observe::TraceContext::parse(request_.head.headers.value(TraceHeader));
-        span_ = core_.options.tracer->start("forward.request", parent, observe::SpanKind::Server);
-        span_.set("request.id", requestId_);
-    }
+    spans_.begin(request_.head.headers.value(TraceHeader), requestId_);
     setDeadline();
     admit();
 }
@@ -151,8 +157,7 @@
         refuse(StatusUnavailable, RetryAfterStopping, "this entry is stopping");
         return;
     }
-    const double point = std::uniform_real_distribution<double>(0, 1)(core_.random);
-    service_ = routing::pickTarget(*route_, point).service;
+    pickService();
     core_.allowanceOf(service_).requestCame(BootClock::now());
     if (const auto resumed = numberOf(request_.head.headers.value(core_.options.protocol.lastEventId))) {
         cutter_.startAfter(*resumed);
@@ -160,26 +165,44 @@
     takePlace();
 }
 
+void Forwarding::pickService()
+{
+    const double point = std::uniform_real_distribution<double>(0, 1)(core_.random);
+    service_ = routing::pickTarget(*route_, point).service;
+    places_ = &core_.placesOf(service_);
+    const routing::Service *service = routes_->service(service_);
+    steps_ = service != nullptr && service->steps ? &*service->steps : nullptr;
+}
+
 /** A stream takes a place among those in progress, or waits for one as long as it could still be in time. */
 void Forwarding::takePlace()
 {
-    PlaceQueue &places = core_.placesOf(service_);
     const BootTime now = BootClock::now();
-    if (route_->kind != RouteKind::Stream || places.hasRoom(now)) {
+    if (route_->kind != RouteKind::Stream || places_->hasRoom(now)) {
         sendNext();
         return;
     }
-    isWaitingForPlace_ = true;
-    placeEnds_ = request_.receivedAt + route_->latencyObjective / ObjectiveParts;
-    places.wait(priority().value_or(MiddlePriority), now, [waiting = weak_from_this()] {
+    waiting_ = Waiting::ForPlace;
+    waitingEnds_ = request_.receivedAt + route_->latencyObjective / ObjectiveParts;
+    places_->wait(priority().value_or(MiddlePriority), now, [waiting = weak_from_this()] {
         const auto self = waiting.lock();
-        if (self != nullptr && std::exchange(self->isWaitingForPlace_, false)) {
+        if (self != nullptr && self->stopsWaitingFor(Waiting::ForPlace)) {
             self->sendNext();
         }
     });
     startTimer();
 }
 
+/** @return false if it was not waiting for that. */
+bool Forwarding::stopsWaitingFor(Waiting awaited)
+{
+    if (waiting_ != awaited) {
+        return false;
+    }
+    waiting_ = Waiting::ForNothing;
+    return true;
+}
+
 /** @return false if there is nothing to wait for, or the time for it is over. */
 bool Forwarding::waitForNews()
 {
@@ -210,7 +233,7 @@
 
 void Forwarding::beginWaiting(BootTime until)
 {
-    isWaiting_ = true;
+    waiting_ = Waiting::ForNews;
     waitingEnds_ = until;
     if (!std::exchange(isRegistered_, true)) {
         core_.waiters.push_back([waiting = weak_from_this()] {
@@ -225,7 +248,7 @@
 
 void Forwarding::endWaiting()
 {
-    if (!std::exchange(isWaiting_, false)) {
+    if (!stopsWaitingFor(Waiting::ForNews)) {
         return;
     }
     if (isResending_ && !isGroupBack() && BootClock::now() < waitingEnds_) {
@@ -327,7 +350,7 @@
     core_.endpoints.sendingTo(*endpoint, BootClock::now());
     sendings_.began(endpoint->record.id);
     endpoint_ = endpoint;
-    beginSendingSpan();
+    spans_.beginSending(endpoint->record.id);
     sentAt_ = BootClock::now();
     heardAt_ = sentAt_;
     incoming_ = {};
@@ -345,7 +368,7 @@
                                                                    .onBody = [this](std::string_view piece) { bodyCame(piece); },
                                                                    .onEnd = [this](CallEnd end) { callEnded(end); }});
     ++endpoint->inFlight;
-    core_.placesOf(service_).began();
+    places_->began();
     core_.metrics.sendings.add();
     if (!call_->start()) {
         callEnded(CallEnd::NotSent);
@@ -354,14 +377,6 @@
     startTimer();
 }
 
-void Forwarding::beginSendingSpan()
-{
-    if (core_.options.tracer != nullptr) {
-        sendingSpan_ = core_.options.tracer->start("forward.sending", span_.context(), observe::SpanKind::Client);
-        sendingSpan_.set("endpoint", endpoint_->record.id);
-    }
-}
-
 std::optional<routing::Priority> Forwarding::priority() const
 {
     return organisation_ != nullptr && organisation_->priority ? organisation_->priority : route_->priority;
@@ -376,7 +391,7 @@
                          .organisation = organisation_ == nullptr ? std::string_view() : std::string_view(organisation_->name),
                          .priority = route_->kind == RouteKind::Stream ? priority() : std::nullopt,
                          .lastEventId = cutter_.lastId(),
-                         .traceparent = sendingSpan_.traceparent()});
+                         .traceparent = spans_.traceparentOfSending()});
 }
 
 bool Forwarding::mayRepeat() const
@@ -414,7 +429,7 @@
     if (protocol.parseLoad != nullptr) {
         if (const auto load = protocol.parseLoad(head.headers.value(protocol.load))) {
             routing::EndpointTable::reported(*endpoint_, *load, heardAt_);
-            core_.placesOf(service_).limit().reported(*load, heardAt_);
+            places_->limit().reported(*load, heardAt_);
         }
     }
     incoming_.head = head;
@@ -478,15 +493,12 @@
 void Forwarding::judgePause()
 {
     const BootTime before = std::exchange(eventAt_, heardAt_);
-    const routing::Service *service = routes_->service(service_);
-    if (events_ == 0 || service == nullptr || !service->steps) {
+    if (events_ == 0 || steps_ == nullptr) {
         return;
     }
-    PlaceQueue &places = core_.placesOf(service_);
-    const routing::ConcurrencyLimit::Pause pause{
-        .pause = heardAt_ - before, .objective = route_->pauseObjective, .inProgress = places.inProgress(), .steps = *service->steps};
-    if (places.limit().paused(pause, heardAt_)) {
-        core_.log.limited(service_, pause.pause, pause.inProgress, places.limit().limit(heardAt_).value_or(0));
+    const routing::ConcurrencyLimit::Pause pause{.pause = heardAt_ - before, .objective = route_->pauseObjective, .inProgress = places_->inProgress()};
+    if (places_->limit().paused(pause, *steps_, heardAt_)) {
+        core_.log.limited(service_, pause.pause, pause.inProgress, places_->limit().limit(heardAt_).value_or(0));
     }
 }
 
@@ -626,8 +638,7 @@
 void Forwarding::startTimer()
 {
     const BootTime now = BootClock::now();
-    BootTime next = isWaiting_ ? std::min(deadline_, waitingEnds_) : deadline_;
-    next = isWaitingForPlace_ ? std::min(next, placeEnds_) : next;
+    BootTime next = waiting_ == Waiting::ForNothing ? deadline_ : std::min(deadline_, waitingEnds_);
     if (call_ != nullptr) {
         const BootTime bound = patienceEnds();
         // A bound that has passed without effect, e.g. for want of retry budget, is looked at again now and then.
@@ -659,12 +670,12 @@
         giveUp();
         return;
     }
-    if (isWaitingForPlace_ && now >= placeEnds_) {
+    if (waiting_ == Waiting::ForPlace && now >= waitingEnds_) {
         core_.metrics.withoutPlace.add();
         refuse(StatusUnavailable, RetryAfterFull, "its service has as many streams in progress as stay in time");
         return;
     }
-    if (isWaiting_ && now >= waitingEnds_) {
+    if (waiting_ == Waiting::ForNews && now >= waitingEnds_) {
         endWaiting();
         return;
     }
@@ -732,12 +743,8 @@
     call->cancel();
     timer_.stop();
     --endpoint_->inFlight;
-    core_.placesOf(service_).ended();
-    sendingSpan_.set("status", incoming_.head.status);
-    if (sign == EndpointSign::Failed || sign == EndpointSign::Unreachable) {
-        sendingSpan_.fail(sign == EndpointSign::Failed ? "failed" : "unreachable");
-    }
-    sendingSpan_.end();
+    places_->ended();
+    spans_.endSending(incoming_.head.status, failureOf(sign));
     routing::EndpointTable::signSeen(*endpoint_, sign, BootClock::now());
 }
 
@@ -791,10 +798,9 @@
 void Forwarding::finish(std::string_view outcome, int status, std::string_view cause)
 {
     sink_ = nullptr;
-    isWaiting_ = false;
-    isWaitingForPlace_ = false;
+    waiting_ = Waiting::ForNothing;
     timer_.stop();
-    endSpan(outcome, status, cause);
+    spans_.end(outcome, status, service_, cause, outcome == "failed" || outcome == "cut");
     const BootTime now = BootClock::now();
     core_.metrics.whole.record(now - request_.receivedAt);
     core_.log.write({.requestId = requestId_,
@@ -813,18 +819,4 @@
                      .events = events_});
 }
 
-void Forwarding::endSpan(std::string_view outcome, int status, std::string_view cause)
-{
-    span_.set("outcome", outcome);
-    span_.set("status", status);
-    span_.set("service", service_);
-    if (!cause.empty()) {
-        span_.set("cause", cause);
-    }
-    if (outcome == "failed" || outcome == "cut") {
-        span_.fail(outcome);
-    }
-    span_.end();
-}
-
 } // namespace magnolia::forward
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -6,7 +6,7 @@
 #include "eventcutter.h"
 #include "forwardcore.h"
 #include "http/timer.h"
-#include "observe/trace.h"
+#include "requestspans.h"
 #include "sendings.h"
 
 #include <cstdint>
@@ -42,6 +42,12 @@
     void callerDrained();
 
 private:
+    enum class Waiting : std::uint8_t {
+        ForNothing,
+        ForNews, ///< Of routes, endpoints or its group.
+        ForPlace, ///< Among the streams in progress.
+    };
+
     struct HeldAnswer {
         http::MessageHead head;
         std::string body;
@@ -49,7 +55,9 @@
 
     // Admission.
     void admit();
+    void pickService();
     void takePlace();
+    bool stopsWaitingFor(Waiting awaited);
     bool waitForNews();
     bool waitForGroup(const routing::Endpoint &endpoint);
     void beginWaiting(BootTime until);
@@ -63,7 +71,6 @@
     // Sendings.
     void sendNext();
     void send(const routing::EndpointPointer &endpoint);
-    void beginSendingSpan();
     std::optional<routing::Priority> priority() const;
     std::string messageFor(const routing::Endpoint &endpoint) const;
     bool mayRepeat() const;
@@ -90,7 +97,6 @@
     void fail(int status, std::string_view cause);
     void answerOwn(int status, std::optional<Duration> retryAfter, std::string_view cause);
     void cutStream(std::string_view cause);
-    void endSpan(std::string_view outcome, int status, std::string_view cause);
     void finish(std::string_view outcome, int status, std::string_view cause);
 
     BootClock::duration left() const;
@@ -103,18 +109,17 @@
     const routing::Route *route_ = nullptr;
     const routing::Organisation *organisation_ = nullptr;
     std::string service_;
+    PlaceQueue *places_ = nullptr; ///< Of the service; set once it is known.
+    const routing::StepModel *steps_ = nullptr; ///< Of the service's engines; null if it has none. Lives in routes_.
     BootTime deadline_; ///< The final answer is due by then.
     BootTime waitUntil_; ///< News of routes and endpoints is waited for no longer.
-    bool isWaiting_ = false;
-    bool isWaitingForPlace_ = false;
-    BootTime placeEnds_; ///< It is refused if it has no place then.
+    Waiting waiting_ = Waiting::ForNothing;
+    BootTime waitingEnds_; ///< It is tried again or refused then at the latest.
     bool isRegistered_ = false; ///< Among those who wait for the next news.
-    BootTime waitingEnds_; ///< It is tried again then at the latest.
     http::Timer timer_;
 
     Sendings sendings_;
-    observe::Span span_; ///< Of the request.
-    observe::Span sendingSpan_; ///< Of the call in progress.
+    RequestSpans spans_;
     bool mayHaveRun_ = false;
     bool hasRetried_ = false;
     bool isResending_ = false; ///< The next sending has to be within the retry budget.
--- /dev/null
+++ b/libs/forward/src/requestspans.h
@@ -0,0 +1,86 @@
+#ifndef MAGNOLIA_FORWARD_REQUESTSPANS_H
+#define MAGNOLIA_FORWARD_REQUESTSPANS_H
+
+#include "observe/trace.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace magnolia::forward
+{
+
+/**
+ * The spans of one request: its own, and one below it for the sending in progress. Without a tracer all calls do nothing.
+ * Used on the request's thread.
+ *
+ * @code
+ * spans.begin(traceparent, requestId);
+ * spans.beginSending(endpoint.id);
+ * request.traceparent = spans.traceparentOfSending();
+ * @endcode
+ */
+class RequestSpans
+{
+public:
+    /** @param tracer outlives this; null: nothing is recorded. */
+    explicit RequestSpans(observe::Tracer *tracer) : tracer_(tracer) {}
+
+    /** @param traceparent the caller's; empty or malformed: a new trace. */
+    void begin(std::string_view traceparent, std::string_view requestId)
+    {
+        if (tracer_ != nullptr) {
+            request_ = tracer_->start("forward.request", observe::TraceContext::parse(traceparent), observe::SpanKind::Server);
+            request_.set("request.id", requestId);
+        }
+    }
+
+    void beginSending(std::string_view endpoint)
+    {
+        if (tracer_ != nullptr) {
+            sending_ = tracer_->start("forward.sending", request_.context(), observe::SpanKind::Client);
+            sending_.set("endpoint", endpoint);
+        }
+    }
+
+    /** @return the header's value for the endpoint; empty without a tracer. */
+    std::string traceparentOfSending() const
+    {
+        return sending_.traceparent();
+    }
+
+    /** @param failure empty if it did not fail. */
+    void endSending(int status, std::string_view failure)
+    {
+        finish(sending_, status, failure);
+    }
+
+    /** @param isFailed the caller got no whole answer, and the request may have run. */
+    void end(std::string_view outcome, int status, std::string_view service, std::string_view cause, bool isFailed)
+    {
+        request_.set("outcome", outcome);
+        request_.set("service", service);
+        if (!cause.empty()) {
+            request_.set("cause", cause);
+        }
+        finish(request_, status, isFailed ? outcome : std::string_view());
+    }
+
+private:
+    static void finish(observe::Span &span, int status, std::string_view failure)
+    {
+        span.set("status", status);
+        if (!failure.empty()) {
+            span.fail(failure);
+        }
+        span.end();
+    }
+
+    observe::Tracer *tracer_;
+    observe::Span request_;
+    observe::Span sending_;
+};
+
+} // namespace magnolia::forward
+
+#endif
--- a/libs/group/src/mapcourier.cpp
+++ b/libs/group/src/mapcourier.cpp
@@ -13,8 +13,8 @@
         whole_ = encodeMap(order.map);
         last_ = {.version = order.version, .map = order.map};
     }
-    const bool hasPrevious = previous_ > 0 && toldMap == previous_ && !change_.empty();
-    return hasPrevious ? Form{.base = previous_, .map = change_} : Form{.base = 0, .map = whole_};
+    const bool knowsPrevious = toldMap == previous_ && !change_.empty();
+    return knowsPrevious ? Form{.base = previous_, .map = change_} : Form{.base = 0, .map = whole_};
 }
 
 } // namespace magnolia::group
--- a/libs/routing/include/routing/concurrencylimit.h
+++ b/libs/routing/include/routing/concurrencylimit.h
@@ -27,7 +27,7 @@
  * 0.63 and 1.2% 0.55, a fall to 0.78 gave 0.60.
  *
  * @code
- * limit.paused({.pause = gap, .objective = route.pauseObjective, .inProgress = inProgress, .steps = steps}, now);
+ * limit.paused({.pause = gap, .objective = route.pauseObjective, .inProgress = inProgress}, steps, now);
  * if (!limit.hasRoom(inProgress, now)) { wait(); }
  * @endcode
  */
@@ -35,7 +35,7 @@
 {
 public:
     struct Options {
-        double mostDecrease = 0.85; ///< Part that is left at least of what is in progress.
+        double leastLeft = 0.85; ///< Part of what is in progress below which one pause does not bring the limit.
         Duration decreaseInterval{600}; ///< One pass is seen by many streams, and its follow-up takes some more.
         double growthPerSecond = 0.025; ///< Part by which the limit grows.
         double leastUse = 0.5; ///< Part of the endpoints' places; a pause that would need fewer in use is not for load.
@@ -53,11 +53,10 @@
         BootClock::duration pause{0};
         Duration objective{0}; ///< 0: none, and it says nothing.
         std::size_t inProgress = 0; ///< Streams of this instance.
-        StepModel steps{}; ///< Of the service's engines.
     };
 
-    /** @return true if the limit fell for it. */
-    bool paused(const Pause &pause, BootTime now);
+    /** @param steps of the service's engines. @return true if the limit fell for it. */
+    bool paused(const Pause &pause, const StepModel &steps, BootTime now);
 
     bool hasRoom(std::size_t inProgress, BootTime now) const
     {
@@ -72,7 +71,7 @@
 
 private:
     double limitAt(BootTime now) const;
-    double wantedUse(const Pause &pause, double use) const;
+    double use() const;
 
     Options options_;
     std::optional<double> limit_; ///< As of loweredAt_.
--- a/libs/routing/include/routing/retryallowance.h
+++ b/libs/routing/include/routing/retryallowance.h
@@ -31,12 +31,17 @@
         double share = 0.2; ///< Retries for each request.
         double constant = 0; ///< Retries in a window besides, of all instances together.
         Duration window{10000};
+        /** That share the budget. A process learns the number together with its routes, before it can take a request. */
+        std::size_t instances = 8;
     };
 
     explicit RetryAllowance(const Options &options);
 
-    /** @param instances that share the budget; until that is known, 8 are assumed. */
-    void setInstances(std::size_t instances);
+    /** @param instances that share the budget from now on. */
+    void setInstances(std::size_t instances)
+    {
+        options_.instances = instances;
+    }
 
     void requestCame(BootTime now);
 
@@ -55,7 +60,6 @@
     Slot &slotAt(BootTime now);
 
     Options options_;
-    double constantPart_;
     std::array<Slot, SlotCount> slots_{};
 };
 
--- a/libs/routing/src/concurrencylimit.cpp
+++ b/libs/routing/src/concurrencylimit.cpp
@@ -6,6 +6,21 @@
 namespace magnolia::routing
 {
 
+namespace
+{
+
+/** @return part of the engines' places with which the same pass would have been in time. */
+double wantedUse(const ConcurrencyLimit::Pause &pause, const StepModel &steps, double use)
+{
+    const double slots = steps.slots;
+    const double stepNow = steps.stepMs + steps.perRequestMs * use * slots;
+    // Uneven experts and prompts stretch each step by the same factor, whatever the number of streams.
+    const double stepWanted = stepNow * (std::chrono::duration<double>(pause.objective) / std::chrono::duration<double>(pause.pause));
+    return (stepWanted - steps.stepMs) / steps.perRequestMs / slots;
+}
+
+} // namespace
+
 void ConcurrencyLimit::reported(const LoadReport &report, BootTime now)
 {
     if (report.slots == 0) {
@@ -19,32 +34,27 @@
     useAt_ = now;
 }
 
-bool ConcurrencyLimit::paused(const Pause &pause, BootTime now)
+bool ConcurrencyLimit::paused(const Pause &pause, const StepModel &steps, BootTime now)
 {
     const bool isTooLong = pause.objective.count() > 0 && pause.pause > pause.objective;
-    const bool isKnown = useWeight_ > 0 && pause.steps.perRequestMs > 0;
+    const bool isKnown = useWeight_ > 0 && steps.perRequestMs > 0;
     if (!isTooLong || !isKnown || now < loweredAt_ + options_.decreaseInterval) {
         return false;
     }
-    const double use = use_ / useWeight_;
-    const double wanted = wantedUse(pause, use);
+    const double wanted = wantedUse(pause, steps, use());
     if (wanted < options_.leastUse) {
         return false;
     }
-    const double part = std::max(wanted / use, options_.mostDecrease);
+    const double part = std::max(wanted / use(), options_.leastLeft);
     limit_ = std::max(static_cast<double>(pause.inProgress) * part, options_.least);
     loweredAt_ = now;
     return true;
 }
 
-/** @return part of the engines' places with which the same pass would have been in time. */
-double ConcurrencyLimit::wantedUse(const Pause &pause, double use) const
+/** @return part of the endpoints' places in use; only once there was a report. */
+double ConcurrencyLimit::use() const
 {
-    const double slots = pause.steps.slots;
-    const double stepNow = pause.steps.stepMs + pause.steps.perRequestMs * use * slots;
-    // Uneven experts and prompts stretch each step by the same factor, whatever the number of streams.
-    const double stepWanted = stepNow * (std::chrono::duration<double>(pause.objective) / std::chrono::duration<double>(pause.pause));
-    return (stepWanted - pause.steps.stepMs) / pause.steps.perRequestMs / slots;
+    return use_ / useWeight_;
 }
 
 double ConcurrencyLimit::limitAt(BootTime now) const
--- a/libs/routing/src/retryallowance.cpp
+++ b/libs/routing/src/retryallowance.cpp
@@ -15,22 +15,9 @@
 // an instance that begins anew has forgotten what it used.
 constexpr double ConstantReserve = 2;
 
-// A process learns the number from the store together with its routes, before it can take a request.
-constexpr std::size_t AssumedInstances = 8;
-
-double partOf(double constant, std::size_t instances)
-{
-    return constant / (ConstantReserve * static_cast<double>(std::max<std::size_t>(instances, 1)));
-}
-
 } // namespace
 
-RetryAllowance::RetryAllowance(const Options &options) : options_(options), constantPart_(partOf(options.constant, AssumedInstances)) {}
-
-void RetryAllowance::setInstances(std::size_t instances)
-{
-    constantPart_ = partOf(options_.constant, instances);
-}
+RetryAllowance::RetryAllowance(const Options &options) : options_(options) {}
 
 void RetryAllowance::requestCame(BootTime now)
 {
@@ -48,7 +35,8 @@
             retries += slot.retries;
         }
     }
-    const double most = options_.share * ShareUsed * requests + constantPart_;
+    const double parts = ConstantReserve * static_cast<double>(std::max<std::size_t>(options_.instances, 1));
+    const double most = options_.share * ShareUsed * requests + options_.constant / parts;
     if (retries + 1 > most) {
         return false;
     }
--- a/libs/routing/tests/concurrencylimittest.cpp
+++ b/libs/routing/tests/concurrencylimittest.cpp
@@ -22,9 +22,11 @@
 
     static ConcurrencyLimit::Pause pauseOf(Duration pause, std::size_t inProgress)
     {
-        return {.pause = pause, .objective = Objective, .inProgress = inProgress, .steps = {.slots = 10, .stepMs = 4.84, .perRequestMs = 0.435}};
+        return {.pause = pause, .objective = Objective, .inProgress = inProgress};
     }
 
+    const StepModel steps{.slots = 10, .stepMs = 4.84, .perRequestMs = 0.435};
+
     ConcurrencyLimit limit{{}};
 };
 
@@ -35,7 +37,7 @@
 BOOST_AUTO_TEST_CASE(pauses_withinTheObjective_setNoLimit)
 {
     endpointsRun(9);
-    limit.paused(pauseOf(119ms, 40), Start);
+    limit.paused(pauseOf(119ms, 40), steps, Start);
     BOOST_TEST(!limit.limit(Start).has_value());
     BOOST_TEST(limit.hasRoom(100'000, Start));
 }
@@ -43,7 +45,7 @@
 BOOST_AUTO_TEST_CASE(pause_tooLongUnderLoad_setsTheLimitBelowWhatIsInProgress)
 {
     endpointsRun(9);
-    limit.paused(pauseOf(140ms, 40), Start);
+    limit.paused(pauseOf(140ms, 40), steps, Start);
     BOOST_TEST(limit.hasRoom(33, Start));
     BOOST_TEST(!limit.hasRoom(40, Start));
 }
@@ -52,7 +54,7 @@
 {
     endpointsRun(9);
     for (std::size_t stream = 40; stream > 0; --stream) {
-        limit.paused(pauseOf(140ms, stream), Start + 1ms);
+        limit.paused(pauseOf(140ms, stream), steps, Start + 1ms);
     }
     BOOST_TEST(limit.hasRoom(33, Start + 1ms));
 }
@@ -60,7 +62,7 @@
 BOOST_AUTO_TEST_CASE(pauses_inTimeAgain_letTheLimitGrow)
 {
     endpointsRun(9);
-    limit.paused(pauseOf(140ms, 40), Start);
+    limit.paused(pauseOf(140ms, 40), steps, Start);
     BOOST_TEST(!limit.hasRoom(40, Start + 1s));
     BOOST_TEST(limit.hasRoom(40, Start + 20s));
 }
@@ -70,32 +72,30 @@
 BOOST_AUTO_TEST_CASE(pause_tooLongWithoutLoad_setsNoLimit)
 {
     endpointsRun(3);
-    limit.paused(pauseOf(140ms, 40), Start);
+    limit.paused(pauseOf(140ms, 40), steps, Start);
     BOOST_TEST(!limit.limit(Start).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(pause_farTooLong_isNoSignOfLoad)
 {
     endpointsRun(9);
-    limit.paused(pauseOf(2s, 40), Start); // A rank is gone, or its group is held.
+    limit.paused(pauseOf(2s, 40), steps, Start); // A rank is gone, or its group is held.
     BOOST_TEST(!limit.limit(Start).has_value());
-    limit.paused(pauseOf(200ms, 40), Start); // Demand has just moved: half as many streams would have been late as well.
+    limit.paused(pauseOf(200ms, 40), steps, Start); // Demand has just moved: half as many streams would have been late as well.
     BOOST_TEST(!limit.limit(Start).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(engines_withoutAStepModel_setNoLimit)
 {
     endpointsRun(9);
-    ConcurrencyLimit::Pause pause = pauseOf(140ms, 40);
-    pause.steps = {};
-    limit.paused(pause, Start);
+    limit.paused(pauseOf(140ms, 40), {}, Start);
     BOOST_TEST(!limit.limit(Start).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(limit_fewInProgress_leavesSome)
 {
     endpointsRun(9);
-    limit.paused(pauseOf(140ms, 1), Start);
+    limit.paused(pauseOf(140ms, 1), steps, Start);
     BOOST_TEST(limit.hasRoom(3, Start));
 }
 
@@ -104,7 +104,7 @@
     endpointsRun(9);
     ConcurrencyLimit::Pause pause = pauseOf(140ms, 40);
     pause.objective = Duration(0);
-    limit.paused(pause, Start);
+    limit.paused(pause, steps, Start);
     BOOST_TEST(!limit.limit(Start).has_value());
 }
 
