--- a/libs/peers/include/peers/proofexchange.h
+++ b/libs/peers/include/peers/proofexchange.h
@@ -84,6 +84,7 @@
     wire::Link::Callbacks takeLink(std::unique_ptr<wire::Link> link);
     void answer(wire::Link &link, const wire::ProofQuestion &question) const;
     void ask();
+    wire::ProofQuestion question() const;
     void askPeer(const std::string &address);
     void takeAnswer(const wire::ProofAnswer &answer);
 
--- a/libs/peers/src/proofexchange.cpp
+++ b/libs/peers/src/proofexchange.cpp
@@ -117,18 +117,21 @@
             askPeer(peer);
         }
     }
-    const wire::ProofQuestion question{.version = callbacks_.known().version, .askedAt = numberOf(BootClock::now())};
+    const wire::ProofQuestion asked = question();
     for (const auto &[address, dialer] : asked_) {
-        dialer->send(question); // One that is not up yet is asked as soon as it is.
+        dialer->send(asked); // One that is not up yet is asked as soon as it is.
     }
 }
 
+wire::ProofQuestion ProofExchange::question() const
+{
+    return {.version = callbacks_.known().version, .askedAt = numberOf(BootClock::now())};
+}
+
 void ProofExchange::askPeer(const std::string &address)
 {
     wire::LinkDialer::Callbacks callbacks;
-    callbacks.onUp = [this, address](const wire::PeerInfo &) {
-        asked_.at(address)->send(wire::ProofQuestion{.version = callbacks_.known().version, .askedAt = numberOf(BootClock::now())});
-    };
+    callbacks.onUp = [this, address](const wire::PeerInfo &) { asked_.at(address)->send(question()); };
     callbacks.onMessage = [this](wire::Message &&message) {
         if (const auto *answer = std::get_if<wire::ProofAnswer>(&message)) {
             takeAnswer(*answer);
