--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -185,17 +185,24 @@
 void ForwardTaskImpl::putEndpoint(const routing::EndpointRecord &record)
 {
     const routing::EndpointPointer known = core_.endpoints.find(record.id);
-    const bool isNews = known == nullptr || known->record.isLeaving != record.isLeaving;
+    const bool wasLeaving = known != nullptr && known->record.isLeaving;
     core_.endpoints.put(record);
+    const routing::EndpointPointer current = core_.endpoints.find(record.id);
+    const bool isOtherRun = known != nullptr && current != known;
+    const bool isNews = known == nullptr || isOtherRun || wasLeaving != current->record.isLeaving;
     if (isNews) {
-        log()->info("Endpoint known id={} service={} address={} data_centre={} leaving={}",
+        log()->info("Endpoint known id={} service={} address={} data_centre={} leaving={} incarnation={}",
                     record.id,
                     record.service,
                     record.address,
                     record.dataCentre,
-                    record.isLeaving);
+                    record.isLeaving,
+                    record.incarnation);
     }
-    if (record.isLeaving) {
+    if (isOtherRun) {
+        core_.connections.closeAll(record.id); // They lead to a run that has ended.
+    }
+    if (current->record.isLeaving) {
         core_.connections.closeAll(record.id);
     } else if (isNews) {
         core_.tellNews();
--- a/libs/group/include/group/engineport.h
+++ b/libs/group/include/group/engineport.h
@@ -18,6 +18,7 @@
 struct ExpertCounts {
     std::uint64_t epoch = 0;
     std::vector<std::uint64_t> counts; ///< Set by set, each with all of its experts.
+    std::uint64_t incarnation = 0; ///< As of RankState.
 };
 
 /** The experts that a rank holds in the map in use. */
--- a/libs/group/include/group/rankstate.h
+++ b/libs/group/include/group/rankstate.h
@@ -34,6 +34,7 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     double pace = 1; ///< Above 1 it is slow.
+    std::uint64_t incarnation = 0; ///< Unix millisecond of the engine's start; 0: not stated.
 
     bool operator==(const RankState &) const = default;
 };
--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -172,9 +172,18 @@
 
 void GroupTaskImpl::takeState(const RankState &state)
 {
-    if (!state_ || state_->epoch != state.epoch) {
+    if (state_ && state.incarnation < state_->incarnation) {
+        return; // An answer of the run before, overtaken by one of this.
+    }
+    const bool isOtherRun = state_ && state.incarnation != state_->incarnation;
+    if (!state_ || state_->epoch != state.epoch || isOtherRun) {
         isHeldKnown_ = false;
     }
+    if (isOtherRun) {
+        log()->info("The engine has started again incarnation={} before={}", state.incarnation, state_->incarnation);
+        counted_.reset();
+        news_.clear();
+    }
     if (state.isOpen && (!state_ || !state_->isOpen)) {
         // All agents see the group open at the same moment, most of them long without a coordinator's word.
         heardAt_ = std::max(heardAt_, BootClock::now() - options_.patience);
@@ -202,7 +211,10 @@
 
 void GroupTaskImpl::takeCounts(const ExpertCounts &counts)
 {
-    const bool isContinued = counted_ && counted_->counts.size() == counts.counts.size();
+    if (state_ && counts.incarnation < state_->incarnation) {
+        return; // Of the run before.
+    }
+    const bool isContinued = counted_ && counted_->counts.size() == counts.counts.size() && counted_->incarnation == counts.incarnation;
     news_.assign(counts.counts.size(), 0);
     for (std::size_t index = 0; isContinued && index < counts.counts.size(); ++index) {
         const std::uint64_t before = counted_->counts[index];
@@ -307,7 +319,8 @@
                     "Order kind={} version={} step={} outcome={}", toString(kind), version, step, outcome == OrderOutcome::Conflict ? "conflict" : "unknown");
             }
             engine_.readState(guarded<Result<RankState>>([this](Result<RankState> state) {
-                if (state) {
+                const bool isLate = state && state_ && state->incarnation < state_->incarnation;
+                if (state && !isLate) {
                     state_ = *state;
                     publish();
                 }
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -23,6 +23,7 @@
     std::string dataCentre;
     std::uint32_t slots = 1; ///< Requests that it runs at once.
     bool isLeaving = false;
+    std::uint64_t incarnation = 0; ///< Unix millisecond of its start; 0: not stated. A later one has nothing of an earlier.
 };
 
 /** What an endpoint says of its load. */
@@ -89,7 +90,10 @@
 
     explicit EndpointTable(Options options);
 
-    /** Adds an endpoint or replaces what is known of it. */
+    /**
+     * Adds an endpoint or replaces what is known of it. One that has started again under its id is another endpoint: load,
+     * failures and group of its earlier run say nothing of it. An entry of an earlier run than the known one is late, and left out.
+     */
     void put(const EndpointRecord &record);
     void remove(std::string_view id);
 
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -40,6 +40,12 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/** Both state when they started, and the one did before the other: it is of a run that has ended. */
+bool isEarlier(const EndpointRecord &one, const EndpointRecord &other)
+{
+    return one.incarnation != 0 && one.incarnation < other.incarnation;
+}
+
 Duration pauseAfter(std::uint32_t failures)
 {
     constexpr std::uint32_t MostDoublings = 4;
@@ -54,8 +60,14 @@
 void EndpointTable::put(const EndpointRecord &record)
 {
     const auto found = byId_.find(record.id);
-    if (found != byId_.end() && found->second->record.service == record.service) {
+    if (found != byId_.end() && isEarlier(record, found->second->record)) {
+        return;
+    }
+    const bool isSameRun = found != byId_.end() && !isEarlier(found->second->record, record);
+    if (isSameRun && found->second->record.service == record.service) {
+        const std::uint64_t incarnation = std::max(record.incarnation, found->second->record.incarnation);
         found->second->record = record;
+        found->second->record.incarnation = incarnation;
         return;
     }
     remove(record.id);
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -50,6 +50,49 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(endpoint_startsAgainUnderItsId_nothingOfBeforeHolds)
+{
+    // Symptom: an engine that was back stayed without requests for seconds. Sequence: it failed, crashed with requests in
+    // progress, and registered again under its id. Cause: failures, load and requests of its earlier run were held against it.
+    EndpointRecord record{.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .incarnation = 1000};
+    table.put(record);
+    const EndpointPointer before = table.find("a");
+    before->inFlight = 4;
+    before->refusesUntil = Now + 1s;
+    EndpointTable::signSeen(*before, EndpointSign::Failed, Now);
+    record.incarnation = 2000;
+    table.put(record);
+    const EndpointPointer after = table.find("a");
+    BOOST_TEST(after != before);
+    BOOST_TEST(before->isGone);
+    BOOST_TEST(after->inFlight == 0U);
+    BOOST_TEST(after->failures == 0U);
+    BOOST_TEST((after->refusesUntil == BootTime()));
+    before->inFlight = 3; // What ends late counts for the run that it was sent to.
+    BOOST_TEST(after->inFlight == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(endpoint_entryOfItsEarlierRunComesLate_isNotBelieved)
+{
+    EndpointRecord record{.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .incarnation = 2000};
+    table.put(record);
+    record.incarnation = 1000;
+    record.isLeaving = true;
+    table.put(record);
+    BOOST_TEST(!table.find("a")->record.isLeaving);
+    BOOST_TEST(table.find("a")->record.incarnation == 2000U);
+}
+
+BOOST_AUTO_TEST_CASE(endpoint_entryWithoutItsStart_isOfTheSameRun)
+{
+    table.put({.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .incarnation = 5});
+    const EndpointPointer before = table.find("a");
+    table.put({.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .isLeaving = true});
+    BOOST_TEST(table.find("a") == before);
+    BOOST_TEST(before->record.isLeaving);
+    BOOST_TEST(before->record.incarnation == 5U);
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_ownRequestsThere_isNotTaken)
 {
     table.find("a")->inFlight = 2;
