group: a group goes on without the coordinator's instance, wherever in a change of map it is lost

Symptom: groups stood still for 4.5 s when the instance that gave the last order froze. Sequence: the coordinator's rank held a pass, the instance froze, nobody could release it or prove whether that rank was armed. Cause: hold and proof stood at one instance. Now the pass is held at another rank by an order from afar, the coordinator's own rank is armed last and by a deputy that remembers it, and a successor releases by the word of all others (RankWitness).

--- a/libs/group/include/group/mapswitch.h
+++ b/libs/group/include/group/mapswitch.h
@@ -17,6 +17,7 @@
 struct AddressedOrder {
     std::uint32_t rank = 0;
     RankOrder order;
+    std::uint32_t via = 0; ///< The rank whose instance gives it to the engine; the same, or another's for the loss of one instance not to matter.
 };
 
 /**
@@ -31,6 +32,10 @@
  * 4. If some rank can't be armed in time: disarm all, and prepare the map in use under a newer version on all. A rank that
  *    reports that is not armed, and a late order to arm the older version finds nothing to arm. Only then release S.
  *
+ * One instance that freezes or loses its network must not leave the group held until it wakes, wherever it happens. So the pass
+ * is held at another rank than the coordinator's, by an order from afar, and the coordinator's own rank is armed last, by
+ * another agent: a successor can release the hold, and learns from the others whether that rank is armed (RankWitness).
+ *
  * Late orders do no harm: to prepare, since versions are never used twice (term and count); to arm or hold, since they are
  * refused once the pass has begun; to release, since no pass is held twice. A hold that nobody waits for is released as
  * soon as no rank is armed or can become so. Ranks are disarmed only under a hold.
@@ -79,12 +84,21 @@
     /** @return orders to be given now. */
     std::vector<AddressedOrder> due(BootTime now);
 
-    /** The rank at which passes are held from now on. */
-    void setHolder(std::uint32_t rank)
+    /** The rank beside the coordinator, from now on. */
+    void setOwnRank(std::uint32_t rank)
     {
-        usualHolder_ = rank;
+        ownRank_ = rank;
     }
 
+    /**
+     * For a rank that has not reported and can't be reached: what is proved of it. It gets no orders until it reports, and no
+     * switch can begin meanwhile.
+     */
+    void vouch(std::uint32_t rank, std::optional<ArmedMap> armed, BootTime now);
+
+    /** @return the term of the coordinator that made a version. */
+    static std::uint64_t termOf(std::uint64_t version);
+
     /** The map in use, in case a switch of a predecessor has to be undone. */
     void setCurrent(RankExperts current)
     {
@@ -99,6 +113,8 @@
     {
         return phase_ == Phase::Idle;
     }
+    /** Idle, and all ranks have reported. */
+    bool canBegin() const;
     std::uint64_t epoch() const
     {
         return epoch_;
@@ -117,9 +133,11 @@
 private:
     struct Member {
         std::optional<RankState> state;
+        bool isVouched = false; ///< The state is what is proved of it, not reported.
         BootTime orderedAt; ///< When it was last given an order.
         std::optional<RankOrderKind> ordered;
         std::uint64_t orderedVersion = 0;
+        std::uint32_t tries = 0; ///< Of the order last given.
     };
 
     void reset(const RankState &state);
@@ -129,10 +147,15 @@
     bool allReported() const;
     template<typename Condition>
     bool all(Condition condition) const;
+    template<typename Condition>
+    bool allReached(Condition condition) const;
     std::optional<std::uint32_t> holder() const;
     std::uint64_t nextStep(std::uint64_t ahead);
     std::uint64_t nextVersion();
     void give(std::vector<AddressedOrder> &orders, std::uint32_t rank, RankOrder order, BootTime now);
+    std::uint32_t usualHolder() const;
+    std::uint32_t viaFor(std::uint32_t rank, RankOrderKind kind, std::uint32_t tries) const;
+    bool areOthersArmed(std::uint32_t rank) const;
 
     Options options_;
     Phase phase_ = Phase::Unknown;
@@ -144,7 +167,7 @@
     std::uint64_t undoVersion_ = 0;
     std::uint64_t step_ = 0; ///< S
     std::uint64_t lastUsedStep_ = 0; ///< Highest that was ever S, here or, as far as can be, under a predecessor.
-    std::uint32_t usualHolder_ = 0;
+    std::optional<std::uint32_t> ownRank_; ///< Unknown at first; orders are then given by each rank's own agent.
     std::uint32_t holder_ = 0; ///< In the switch in progress.
     RankExperts map_;
     RankExperts current_;
--- a/libs/group/include/group/rankreach.h
+++ b/libs/group/include/group/rankreach.h
@@ -59,6 +59,17 @@
         return now - agents_.at(rank) > options_.silence;
     }
 
+    /** All agents but this one follow this term, so no other coordinator can be at work. */
+    bool areAllHeard(std::uint32_t except, BootTime now) const
+    {
+        for (std::uint32_t rank = 0; rank < agents_.size(); ++rank) {
+            if (rank != except && isSilent(rank, now)) {
+                return false;
+            }
+        }
+        return !agents_.empty();
+    }
+
     /** Engines of silent ranks may be addressed. */
     bool mayAddress(BootTime now) const
     {
--- a/libs/group/include/group/rankstate.h
+++ b/libs/group/include/group/rankstate.h
@@ -61,6 +61,18 @@
     std::uint64_t version = 0; ///< Of Prepare, Arm and Disarm.
     std::uint64_t step = 0; ///< Of Arm, Hold and Release.
     RankExperts map{}; ///< Of Prepare.
+    bool isFresh = false; ///< Of Prepare: no rank was armed or held when the change was begun.
+};
+
+/** An order to arm that an agent gave to the engine of another rank. */
+struct PeerArm {
+    std::uint32_t rank = 0; ///< Of that engine.
+    std::uint64_t epoch = 0;
+    std::uint64_t version = 0;
+    std::uint64_t step = 0;
+    bool isAccepted = false; ///< The engine said so; else it may have been carried out, or may be later.
+
+    bool operator==(const PeerArm &) const = default;
 };
 
 /** What became of an order, as far as the answer tells. */
--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -18,6 +18,12 @@
 // Well below the patience after which another takes over.
 constexpr Duration FollowInterval{200};
 
+// While the group is held whoever holds it takes over much sooner than usual (GroupOptions::heldPatience).
+constexpr Duration SwitchFollowInterval{60};
+
+// Agents that can be reached report within some tens of milliseconds to a new coordinator.
+constexpr Duration VouchAfter{120};
+
 // The list of members is read again, while a rank is missing, and otherwise now and then: the calls are priced.
 constexpr Duration MissingRefresh{1000};
 constexpr Duration UsualRefresh{15000};
@@ -43,6 +49,7 @@
                          const GroupOptions &options,
                          std::string group,
                          std::uint64_t term,
+                         Predecessor predecessor,
                          EngineDialer dialEngine,
                          GroupStore &store,
                          observe::Metrics &metrics,
@@ -51,11 +58,13 @@
     , options_(options)
     , group_(std::move(group))
     , term_(term)
+    , predecessor_(predecessor)
     , dialEngine_(std::move(dialEngine))
     , store_(store)
     , callbacks_(std::move(callbacks))
     , switch_({.term = term})
     , reach_(RankReach::Options{})
+    , begunAt_(BootClock::now())
     , policy_({.pauseObjective = options.pauseObjective})
     , planner_({.placesPerRank = options.placesPerRank,
                 .mostNewPerSet = options.mostNewPerSet,
@@ -91,6 +100,9 @@
         return std::none_of(members.begin(), members.end(), [&known](const MemberAddress &member) { return member.id == known.first; });
     });
     for (const MemberAddress &member : members) {
+        if (member.agent == options_.listenAddress) {
+            ownEngine_ = member.engine;
+        }
         if (member.agent != options_.listenAddress && !members_.contains(member.id) && !strangers_.contains(member.id)) {
             dialMember(member);
         }
@@ -105,7 +117,7 @@
     wire::LinkDialer::Callbacks callbacks;
     callbacks.onUp = [this, id](const wire::PeerInfo &) {
         members_[id].toldMap = 0;
-        members_[id].link->send(commandOf({.kind = RankOrderKind::Follow}, group_, term_));
+        members_[id].link->send(commandFor({.kind = RankOrderKind::Follow}));
     };
     callbacks.onMessage = [this, id](wire::Message &&message) {
         if (const auto *report = std::get_if<wire::RankReport>(&message)) {
@@ -153,9 +165,13 @@
         held_.clear();
         isMapOld_ = true;
         reach_.reset(switch_.size());
+        witness_.reset();
+        vouched_.reset();
     }
     if (report.epoch == heldEpoch_ && report.rank < switch_.size()) {
         reach_.heard(report.rank, now);
+        witness_.heard(report.rank, memoryOf(report));
+        vouched_ = vouched_ == report.rank ? std::nullopt : vouched_;
     }
     if (!report.experts.empty() && report.epoch == heldEpoch_) {
         if (auto experts = decodeSetExperts(report.experts)) {
@@ -219,12 +235,9 @@
 void Coordinator::askEngine(const std::string &id, BootTime now)
 {
     Member &member = members_[id];
-    if (member.engine == nullptr) {
-        log()->info("Agent silent, its engine is asked id={}", id);
-        member.engine = dialEngine_(member.engineAddress);
-    }
+    log()->debug("Agent silent, its engine is asked id={}", id);
     member.isEngineAsked = true;
-    member.engine->readState([this, id, now, alive = std::weak_ptr<bool>(alive_)](Result<RankState> state) {
+    engineOf(member).readState([this, id, now, alive = std::weak_ptr<bool>(alive_)](Result<RankState> state) {
         if (alive.expired() || !members_.contains(id)) {
             return;
         }
@@ -272,14 +285,15 @@
 {
     const BootTime now = BootClock::now();
     askSilent(now);
+    vouchForPredecessor(now);
     const bool isMapKnown = currentMap().has_value();
     for (const AddressedOrder &addressed : switch_.due(now)) {
         const bool isRelease = addressed.order.kind == RankOrderKind::Release;
         if (!isRelease || reach_.mayRelease(now)) {
-            send(addressed.rank, addressed.order);
+            send(addressed);
         }
     }
-    if (isMapKnown && switch_.isIdle() && now - plannedAt_ >= options_.planInterval) {
+    if (isMapKnown && switch_.canBegin() && now - plannedAt_ >= options_.planInterval) {
         plannedAt_ = now;
         plan();
     }
@@ -287,7 +301,7 @@
         loggedPhase_ = switch_.phase();
         log()->info("Phase={} version={} epoch={} last_step={}", toString(loggedPhase_), switch_.version(), switch_.epoch(), switch_.lastStep());
     }
-    if (now - followedAt_ >= FollowInterval) {
+    if (now - followedAt_ >= (isInSwitch() ? SwitchFollowInterval : FollowInterval)) {
         sendFollow();
     }
     const bool isMissing = switch_.phase() == MapSwitch::Phase::Unknown;
@@ -300,18 +314,54 @@
 void Coordinator::sendFollow()
 {
     followedAt_ = BootClock::now();
-    const wire::RankCommand follow = commandOf({.kind = RankOrderKind::Follow}, group_, term_);
+    const wire::RankCommand follow = commandFor({.kind = RankOrderKind::Follow});
     for (const auto &[id, member] : members_) {
         member.link->send(follow);
     }
 }
 
-void Coordinator::send(std::uint32_t rank, const RankOrder &order)
+void Coordinator::send(const AddressedOrder &addressed)
+{
+    const bool isOwn = addressed.rank == ownRank_;
+    if (addressed.via == addressed.rank) {
+        isOwn ? callbacks_.orderOwn(addressed.order) : sendThroughAgent(addressed.rank, addressed.order);
+    } else if (isOwn) {
+        sendByDeputy(addressed.via, addressed.order);
+    } else {
+        sendFromAfar(addressed.rank, addressed.order);
+    }
+}
+
+/** Engines know no terms: one that has been replaced without knowing it could hold a successor's passes. */
+void Coordinator::sendFromAfar(std::uint32_t rank, const RankOrder &order)
 {
-    if (rank == ownRank_) {
-        callbacks_.orderOwn(order);
+    if (!ownRank_ || !reach_.areAllHeard(*ownRank_, BootClock::now())) {
         return;
     }
+    for (auto &[id, member] : members_) {
+        if (member.rank == rank && member.link->isUp()) {
+            engineOf(member).order(order, [](OrderOutcome) {}); // What it did is read from the engine.
+            return;
+        }
+    }
+}
+
+/** Another agent arms the rank beside this one, and remembers that it did. */
+void Coordinator::sendByDeputy(std::uint32_t deputy, const RankOrder &order)
+{
+    wire::RankCommand command = commandFor(order);
+    command.peerEngine = ownEngine_;
+    command.peerRank = ownRank_.value_or(0);
+    for (auto &[id, member] : members_) {
+        if (member.rank == deputy && member.link->isUp() && !ownEngine_.empty()) {
+            member.link->send(command);
+            return;
+        }
+    }
+}
+
+void Coordinator::sendThroughAgent(std::uint32_t rank, const RankOrder &order)
+{
     const BootTime now = BootClock::now();
     for (auto &[id, member] : members_) {
         if (member.rank != rank) {
@@ -332,7 +382,7 @@
 
 void Coordinator::sendTo(Member &member, const RankOrder &order)
 {
-    wire::RankCommand command = commandOf(order, group_, term_);
+    wire::RankCommand command = commandFor(order);
     if (order.kind == RankOrderKind::Prepare) {
         const MapCourier::Form form = courier_.formFor(order, member.toldMap);
         command.mapBase = form.base;
@@ -342,18 +392,90 @@
     member.link->send(command);
 }
 
+wire::RankCommand Coordinator::commandFor(const RankOrder &order) const
+{
+    wire::RankCommand command = commandOf(order, group_, term_);
+    command.coordinator = ownRank_ ? *ownRank_ + 1 : 0;
+    return command;
+}
+
+EnginePort &Coordinator::engineOf(Member &member)
+{
+    if (member.engine == nullptr) {
+        member.engine = dialEngine_(member.engineAddress);
+    }
+    return *member.engine;
+}
+
+/** Lets a held group go on without the rank of a predecessor that can't be reached, if the others' word proves its state. */
+void Coordinator::vouchForPredecessor(BootTime now)
+{
+    const bool isAsked = switch_.phase() == MapSwitch::Phase::Unknown && predecessor_.term > 0 && now - begunAt_ >= VouchAfter;
+    if (!isAsked || predecessor_.rank >= switch_.size()) {
+        return;
+    }
+    for (std::uint32_t rank = 0; rank < switch_.size(); ++rank) {
+        const bool isHeard = switch_.rank(rank) != nullptr;
+        if (isHeard == (rank == predecessor_.rank)) {
+            return; // It has reported, or another has not.
+        }
+    }
+    const auto proof =
+        witness_.judge({.rank = predecessor_.rank, .size = switch_.size(), .epoch = switch_.epoch(), .term = predecessor_.term});
+    if (!proof) {
+        return;
+    }
+    log()->info("The others prove the state of a rank that can't be reached rank={} armed={} term={}",
+                predecessor_.rank,
+                proof->armed.has_value(),
+                predecessor_.term);
+    vouched_ = predecessor_.rank;
+    isMapOld_ = true;
+    switch_.vouch(predecessor_.rank, proof->armed, now);
+}
+
 /** @return nothing while ranks report different versions. Joined only when a rank's experts changed: reports come often. */
 const std::optional<RankExperts> &Coordinator::currentMap()
 {
     if (std::exchange(isMapOld_, false)) {
         currentMap_ = joinedMap();
-        if (currentMap_) {
-            switch_.setCurrent(*currentMap_);
+        const auto fallback = currentMap_ || !vouched_ ? currentMap_ : mapWithout(*vouched_);
+        if (fallback) {
+            switch_.setCurrent(*fallback);
         }
     }
     return currentMap_;
 }
 
+/**
+ * The map in use as far as all ranks but one tell it: the absent one holds at least what no other does. Prepared in place of a
+ * map that is given up, it costs no rank a copy, and it is never armed.
+ */
+std::optional<RankExperts> Coordinator::mapWithout(std::uint32_t absent) const
+{
+    if (held_.empty() || held_.size() + 1 != switch_.size() || held_.contains(absent)) {
+        return std::nullopt;
+    }
+    const std::size_t sets = held_.begin()->second.experts.size();
+    const std::size_t experts = options_.experts;
+    RankExperts map(sets, std::vector<std::vector<std::uint16_t>>(switch_.size()));
+    for (std::size_t set = 0; set < sets; ++set) {
+        std::vector<bool> isHeld(experts, false);
+        for (const auto &[rank, held] : held_) {
+            map[set][rank] = held.experts.at(set);
+            for (const std::uint16_t expert : map[set][rank]) {
+                isHeld.at(expert) = true;
+            }
+        }
+        for (std::size_t expert = 0; expert < experts; ++expert) {
+            if (!isHeld[expert]) {
+                map[set][absent].push_back(static_cast<std::uint16_t>(expert));
+            }
+        }
+    }
+    return map;
+}
+
 std::optional<RankExperts> Coordinator::joinedMap() const
 {
     if (switch_.size() == 0 || held_.size() != switch_.size()) {
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -6,6 +6,7 @@
 #include "group/grouptask.h"
 #include "group/mapswitch.h"
 #include "group/rankreach.h"
+#include "group/rankwitness.h"
 #include "group/replicaplanner.h"
 #include "groupcodec.h"
 #include "http/timer.h"
@@ -30,6 +31,12 @@
 class Coordinator
 {
 public:
+    /** Who coordinated before, if it is known. */
+    struct Predecessor {
+        std::uint64_t term = 0; ///< 0: not known.
+        std::uint32_t rank = 0;
+    };
+
     struct Callbacks {
         std::function<void(const RankOrder &)> orderOwn{}; ///< For the engine beside this agent.
         std::function<void()> overtaken{}; ///< A higher term was heard of; may destroy this behind the callback.
@@ -39,6 +46,7 @@
                 const GroupOptions &options,
                 std::string group,
                 std::uint64_t term,
+                Predecessor predecessor,
                 EngineDialer dialEngine,
                 GroupStore &store,
                 observe::Metrics &metrics,
@@ -50,7 +58,7 @@
     void setOwnRank(std::uint32_t rank)
     {
         ownRank_ = rank;
-        switch_.setHolder(rank); // One instance fewer whose loss can leave the group held.
+        switch_.setOwnRank(rank);
     }
 
 private:
@@ -83,8 +91,15 @@
     void takeDemand(const wire::RankReport &report);
     void plan();
     void sendFollow();
-    void send(std::uint32_t rank, const RankOrder &order);
+    void send(const AddressedOrder &addressed);
     void sendTo(Member &member, const RankOrder &order);
+    void sendFromAfar(std::uint32_t rank, const RankOrder &order);
+    void sendByDeputy(std::uint32_t deputy, const RankOrder &order);
+    void sendThroughAgent(std::uint32_t rank, const RankOrder &order);
+    EnginePort &engineOf(Member &member);
+    wire::RankCommand commandFor(const RankOrder &order) const;
+    void vouchForPredecessor(BootTime now);
+    std::optional<RankExperts> mapWithout(std::uint32_t absent) const;
     const std::optional<RankExperts> &currentMap();
     std::optional<RankExperts> joinedMap() const;
     std::vector<std::vector<double>> shares(std::size_t sets) const;
@@ -94,11 +109,16 @@
     GroupOptions options_;
     std::string group_;
     std::uint64_t term_;
+    Predecessor predecessor_;
     EngineDialer dialEngine_;
     GroupStore &store_;
     Callbacks callbacks_;
     MapSwitch switch_;
     RankReach reach_;
+    RankWitness witness_;
+    std::optional<std::uint32_t> vouched_; ///< The rank whose state is proved by the others' word.
+    BootTime begunAt_; ///< When this term began.
+    std::string ownEngine_; ///< Address of the engine beside this agent, once the list of members has told it.
     ChangePolicy policy_;
     ReplicaPlanner planner_;
     MapCourier courier_;
--- a/libs/group/src/groupcodec.cpp
+++ b/libs/group/src/groupcodec.cpp
@@ -154,6 +154,32 @@
     return state;
 }
 
+void putMemory(wire::RankReport &report, const RankMemory &memory)
+{
+    report.toldVersion = memory.told;
+    report.isToldFresh = memory.isFresh;
+    if (memory.peerArm) {
+        report.peerArmVersion = memory.peerArm->version;
+        report.peerArmEpoch = memory.peerArm->epoch;
+        report.peerArmStep = memory.peerArm->step;
+        report.peerArmRank = memory.peerArm->rank;
+        report.isPeerArmAccepted = memory.peerArm->isAccepted;
+    }
+}
+
+RankMemory memoryOf(const wire::RankReport &report)
+{
+    RankMemory memory{.told = report.toldVersion, .isFresh = report.isToldFresh, .peerArm = {}, .map = report.map};
+    if (report.peerArmVersion > 0) {
+        memory.peerArm = PeerArm{.rank = report.peerArmRank,
+                                 .epoch = report.peerArmEpoch,
+                                 .version = report.peerArmVersion,
+                                 .step = report.peerArmStep,
+                                 .isAccepted = report.isPeerArmAccepted};
+    }
+    return memory;
+}
+
 wire::RankCommand commandOf(const RankOrder &order, std::string_view group, std::uint64_t term)
 {
     return {.group = std::string(group),
@@ -162,7 +188,8 @@
             .epoch = order.epoch,
             .version = order.version,
             .step = order.step,
-            .map = {}};
+            .map = {},
+            .isFresh = order.isFresh};
 }
 
 Result<RankOrder> orderOf(const wire::RankCommand &command, const KnownMap &known)
@@ -171,6 +198,7 @@
         return fail(ErrorCode::ProtocolError, Verdict::NotRun, "no such kind of command");
     }
     RankOrder order{.kind = static_cast<RankOrderKind>(command.kind), .epoch = command.epoch, .version = command.version, .step = command.step};
+    order.isFresh = command.isFresh;
     if (order.kind == RankOrderKind::Prepare) {
         auto map = mapOf(command, known);
         if (!map) {
--- a/libs/group/src/groupcodec.h
+++ b/libs/group/src/groupcodec.h
@@ -2,6 +2,7 @@
 #define MAGNOLIA_GROUP_GROUPCODEC_H
 
 #include "base/failure.h"
+#include "group/rankwitness.h"
 #include "group/rankstate.h"
 #include "mapcourier.h"
 #include "wire/messages.h"
@@ -29,6 +30,8 @@
 
 wire::RankReport reportOf(const RankState &state);
 RankState stateOf(const wire::RankReport &report);
+void putMemory(wire::RankReport &report, const RankMemory &memory);
+RankMemory memoryOf(const wire::RankReport &report);
 
 /** Without the order's map, for which there are two forms. */
 wire::RankCommand commandOf(const RankOrder &order, std::string_view group, std::uint64_t term);
--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -26,6 +26,9 @@
 // Each agent waits a random part of this longer, so that not all ask the store at once.
 constexpr Duration PatienceSpread{400};
 
+// Connections to other ranks' engines that are kept: one for each coordinator that was followed lately.
+constexpr std::size_t MostPeerEngines = 4;
+
 // After an order reports are looked for more often: a copy of an expert takes some tenths of a second, the rest less.
 constexpr Duration SwitchTime{1000};
 
@@ -79,6 +82,7 @@
     bool isExpertsTurn() const;
     void takeCommand(const wire::RankCommand &command);
     void carryOut(const RankOrder &order);
+    void armPeer(const RankOrder &order, const std::string &address, std::uint32_t rank);
     void contendIfSilent();
     void takeRow(const CoordinatorRow &row);
     void becomeCoordinator(std::uint64_t term);
@@ -116,6 +120,9 @@
     };
 
     KnownMap told_; ///< The map that a coordinator last told.
+    RankMemory memory_; ///< What a successor of the coordinator may ask of it.
+    std::map<std::string, std::unique_ptr<EnginePort>> peerEngines_; ///< By address: other ranks' that were armed from here.
+    Coordinator::Predecessor followed_; ///< The coordinator last heeded.
     HeldExperts held_;
     bool isHeldKnown_ = false;
     ExpertsTold expertsTold_; ///< In the last report that listed them.
@@ -244,6 +251,7 @@
     }
     wire::RankReport report = reportOf(*state_);
     report.term = term_;
+    putMemory(report, memory_);
     if (isHeldKnown_ && held_.epoch == state_->epoch && isExpertsTurn()) {
         report.expertsVersion = held_.version;
         report.experts = encodeSetExperts(held_.experts);
@@ -296,21 +304,56 @@
         publish();
     }
     heardAt_ = BootClock::now();
+    followed_ = command.coordinator > 0 ? Coordinator::Predecessor{.term = term_, .rank = command.coordinator - 1} : Coordinator::Predecessor{};
     const auto order = orderOf(command, told_);
     if (!order) {
         log()->warn("A command can't be read cause={}", order.error().detail);
         return;
     }
-    if (order->kind == RankOrderKind::Prepare) {
-        told_ = {.version = order->version, .map = order->map};
-    }
-    if (order->kind != RankOrderKind::Follow) {
+    if (!command.peerEngine.empty()) {
+        armPeer(*order, command.peerEngine, command.peerRank);
+    } else if (order->kind != RankOrderKind::Follow) {
         carryOut(*order);
     }
 }
 
+/** Arms the rank beside the coordinator, whose own word would be lost with its instance. */
+void GroupTaskImpl::armPeer(const RankOrder &order, const std::string &address, std::uint32_t rank)
+{
+    const PeerArm given{.rank = rank, .epoch = order.epoch, .version = order.version, .step = order.step};
+    const bool isRepeat = memory_.peerArm && memory_.peerArm->version == given.version && memory_.peerArm->step == given.step;
+    if (!isRepeat) {
+        memory_.peerArm = given; // Before it is given: from now on it may be carried out.
+        publish();
+    }
+    if (peerEngines_.size() >= MostPeerEngines && !peerEngines_.contains(address)) {
+        peerEngines_.clear();
+    }
+    auto &engine = peerEngines_[address];
+    if (engine == nullptr) {
+        engine = dialEngine_(address);
+    }
+    engine->order(order, guarded<OrderOutcome>([this, given](OrderOutcome outcome) {
+                      const bool isThis = memory_.peerArm && memory_.peerArm->version == given.version && memory_.peerArm->step == given.step;
+                      log()->debug("Armed for its coordinator rank={} version={} step={} accepted={}",
+                                   given.rank,
+                                   given.version,
+                                   given.step,
+                                   outcome == OrderOutcome::Accepted);
+                      if (isThis && outcome == OrderOutcome::Accepted) {
+                          memory_.peerArm->isAccepted = true;
+                          publish();
+                      }
+                  }));
+}
+
 void GroupTaskImpl::carryOut(const RankOrder &order)
 {
+    if (order.kind == RankOrderKind::Prepare) {
+        told_ = {.version = order.version, .map = order.map};
+        memory_.told = order.version;
+        memory_.isFresh = order.isFresh;
+    }
     commandedAt_ = BootClock::now();
     engine_.order(
         order, guarded<OrderOutcome>([this, kind = order.kind, version = order.version, step = order.step](OrderOutcome outcome) {
@@ -331,7 +374,8 @@
 void GroupTaskImpl::contendIfSilent()
 {
     const BootTime now = BootClock::now();
-    if (coordinator_ != nullptr || isContending_ || !state_->isOpen || now - heardAt_ < patience_) {
+    const Duration patience = state_->held ? std::min(options_.heldPatience, patience_) : patience_;
+    if (coordinator_ != nullptr || isContending_ || !state_->isOpen || now - heardAt_ < patience) {
         return;
     }
     isContending_ = true;
@@ -349,7 +393,8 @@
 
 void GroupTaskImpl::takeRow(const CoordinatorRow &row)
 {
-    const bool hasChanged = row.term != row_.term;
+    // The term that was followed until now is the silent one's.
+    const bool hasChanged = row.term != row_.term && row.term != term_;
     log()->info("No coordinator is heard of group={} row_term={} holder={} changed={}", state_->group, row.term, row.holder, hasChanged);
     row_ = row;
     if (hasChanged && row.term > 0 && row.holder != options_.instance) {
@@ -370,10 +415,12 @@
     term_ = term;
     expertsTold_ = {};
     log()->info("Coordinates group={} term={} before={}", state_->group, term, row_.holder);
+    const auto predecessor = followed_.term == row_.term ? followed_ : Coordinator::Predecessor{};
     coordinator_ = std::make_unique<Coordinator>(loop_,
                                                  options_,
                                                  state_->group,
                                                  term,
+                                                 predecessor,
                                                  dialEngine_,
                                                  store_,
                                                  metrics_,
--- a/libs/group/src/mapswitch.cpp
+++ b/libs/group/src/mapswitch.cpp
@@ -69,9 +69,30 @@
         reset(state);
     }
     ranks_[state.rank].state = state;
+    ranks_[state.rank].isVouched = false;
     advance(now);
 }
 
+void MapSwitch::vouch(std::uint32_t rank, std::optional<ArmedMap> armed, BootTime now)
+{
+    if (phase_ != Phase::Unknown || rank >= ranks_.size() || ranks_[rank].state) {
+        return;
+    }
+    ranks_[rank].state = RankState{.epoch = epoch_, .rank = rank, .size = size(), .armed = armed};
+    ranks_[rank].isVouched = true;
+    advance(now);
+}
+
+std::uint64_t MapSwitch::termOf(std::uint64_t version)
+{
+    return version / VersionsPerTerm;
+}
+
+bool MapSwitch::canBegin() const
+{
+    return isIdle() && std::none_of(ranks_.begin(), ranks_.end(), [](const Member &member) { return member.isVouched; });
+}
+
 void MapSwitch::reset(const RankState &state)
 {
     epoch_ = state.epoch;
@@ -113,6 +134,13 @@
     return std::all_of(ranks_.begin(), ranks_.end(), [&condition](const Member &member) { return condition(*member.state); });
 }
 
+/** The same for the ranks that have reported. */
+template<typename Condition>
+bool MapSwitch::allReached(Condition condition) const
+{
+    return std::all_of(ranks_.begin(), ranks_.end(), [&condition](const Member &member) { return member.isVouched || condition(*member.state); });
+}
+
 std::optional<std::uint32_t> MapSwitch::holder() const
 {
     for (const Member &member : ranks_) {
@@ -191,7 +219,7 @@
     case Phase::Preparing:
         if (all([this](const RankState &state) { return state.prepared == version_; })) {
             step_ = nextStep(options_.stepsAhead);
-            holder_ = usualHolder_ < ranks_.size() ? usualHolder_ : 0;
+            holder_ = usualHolder();
             enter(Phase::Holding, now);
         }
         break;
@@ -206,12 +234,18 @@
         }
         break;
     case Phase::Releasing:
-        if (all([this](const RankState &state) { return state.map == version_ && !state.armed; })) {
+        if (allReached([this](const RankState &state) { return state.map == version_ && !state.armed; })) {
+            for (Member &member : ranks_) {
+                if (member.isVouched) {
+                    member.state->armed.reset(); // It has begun the same pass.
+                }
+            }
             enter(Phase::Idle, now);
         }
         break;
     case Phase::Undoing:
-        if (all([this](const RankState &state) { return !state.armed && state.prepared == undoVersion_; })) {
+        if (all([](const RankState &state) { return !state.armed; })
+            && allReached([this](const RankState &state) { return state.prepared == undoVersion_; })) {
             enter(Phase::UndoReleasing, now);
         }
         break;
@@ -231,11 +265,44 @@
     if (isRepeat && now < member.orderedAt + retry) {
         return;
     }
+    member.tries = isRepeat ? member.tries + 1 : 0;
     member.ordered = order.kind;
     member.orderedVersion = order.version;
     member.orderedAt = now;
     order.epoch = epoch_;
-    orders.push_back({.rank = rank, .order = std::move(order)});
+    const std::uint32_t via = viaFor(rank, order.kind, member.tries);
+    orders.push_back({.rank = rank, .order = std::move(order), .via = via});
+}
+
+/** Not the coordinator's: if that instance is lost, somebody who can be reached has to release the pass. */
+std::uint32_t MapSwitch::usualHolder() const
+{
+    return ownRank_ ? (*ownRank_ + 1) % size() : 0;
+}
+
+/** Whose instance gives an order. Each further try takes another way: an engine may be cut off from some instances. */
+std::uint32_t MapSwitch::viaFor(std::uint32_t rank, RankOrderKind kind, std::uint32_t tries) const
+{
+    if (!ownRank_ || size() == 1) {
+        return rank;
+    }
+    if (kind == RankOrderKind::Hold) {
+        const bool isFromAfar = tries % 2 == 0;
+        return isFromAfar ? *ownRank_ : rank;
+    }
+    if (kind == RankOrderKind::Arm && rank == *ownRank_) {
+        // Of all others but the holder's, whose loss leaves the group held anyway.
+        const std::uint32_t deputies = std::max(size() - 2, 1U);
+        const std::uint32_t first = size() > 2 ? 2 : 1;
+        return (*ownRank_ + first + tries % deputies) % size();
+    }
+    return rank;
+}
+
+bool MapSwitch::areOthersArmed(std::uint32_t rank) const
+{
+    const ArmedMap wanted{.version = version_, .step = step_};
+    return std::all_of(ranks_.begin(), ranks_.end(), [&](const Member &member) { return member.state->rank == rank || member.state->armed == wanted; });
 }
 
 std::vector<AddressedOrder> MapSwitch::due(BootTime now)
@@ -254,14 +321,14 @@
         enter(Phase::Undoing, now);
     }
     for (std::uint32_t rank = 0; rank < ranks_.size(); ++rank) {
-        if (!ranks_[rank].state) {
+        if (!ranks_[rank].state || ranks_[rank].isVouched) {
             continue;
         }
         const RankState &state = *ranks_[rank].state;
         switch (phase_) {
         case Phase::Preparing:
             if (state.prepared != version_) {
-                give(orders, rank, {.kind = RankOrderKind::Prepare, .version = version_, .map = map_}, now);
+                give(orders, rank, {.kind = RankOrderKind::Prepare, .version = version_, .map = map_, .isFresh = true}, now);
             }
             break;
         case Phase::Holding:
@@ -273,7 +340,7 @@
             }
             break;
         case Phase::Arming:
-            if (state.armed != ArmedMap{.version = version_, .step = step_}) {
+            if (state.armed != ArmedMap{.version = version_, .step = step_} && (rank != ownRank_ || areOthersArmed(rank))) {
                 give(orders, rank, {.kind = RankOrderKind::Arm, .version = version_, .step = step_}, now);
             }
             break;
--- a/libs/group/tests/grouptasktest.cpp
+++ b/libs/group/tests/grouptasktest.cpp
@@ -240,6 +240,7 @@
         options.listenAddress = address;
         options.links.self = {.role = wire::Role::Agent, .instance = options.instance, .dataCentre = "north", .endpoint = {}};
         options.links.keys = {{.id = "k", .secret = "a-secret-of-the-test"}};
+        options.experts = Experts;
         options.placesPerRank = 3;
         options.mostNewPerSet = 1;
         options.patience = Duration(300);
--- a/libs/group/tests/mapswitchtest.cpp
+++ b/libs/group/tests/mapswitchtest.cpp
@@ -247,6 +247,7 @@
 BOOST_DATA_TEST_CASE(group_anythingGoesWrong_noPassOnTwoMapsAndItGoesOn, boost::unit_test::data::make(WorldSizes), size)
 {
     std::uint64_t switches = 0;
+    std::uint64_t vouched = 0;
     for (int run = 0; run < size.runs; ++run) {
         RankWorld world({.ranks = size.ranks}, static_cast<std::uint64_t>(run) + 1);
         for (int event = 0; event < size.events && !world.fault(); ++event) {
@@ -255,8 +256,11 @@
         BOOST_REQUIRE_MESSAGE(!world.fault(), "seed " << run + 1 << ": " << *world.fault());
         BOOST_REQUIRE_MESSAGE(world.settles(), "seed " << run + 1 << ": the group does not go on");
         switches += world.switches();
+        vouched += world.vouched();
     }
     BOOST_TEST(switches > static_cast<std::uint64_t>(size.runs));
+    BOOST_TEST(vouched > 0U);
+    BOOST_TEST_MESSAGE(size << ": " << switches << " switches, " << vouched << " times on the others' word");
 }
 
 BOOST_AUTO_TEST_CASE(coordinator_takesOrdersForTheirEffect_splitsTheGroup)
@@ -269,6 +273,26 @@
     BOOST_TEST(faultyRuns(Mutant::ReusedVersions, {3, 2000, 2000}) > 0);
 }
 
+BOOST_AUTO_TEST_CASE(coordinator_armsItsOwnRank_splitsTheGroup)
+{
+    BOOST_TEST(faultyRuns(Mutant::ArmsItself, {3, 4000, 2000}) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(deputy_forgetsAndVouches_splitsTheGroup)
+{
+    BOOST_TEST(faultyRuns(Mutant::ForgetfulDeputy, {3, 6000, 3000}) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(changeThatUndoes_countsAsFresh_splitsTheGroup)
+{
+    BOOST_TEST(faultyRuns(Mutant::UndoneIsFresh, {3, 6000, 3000}) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(rankOutOfReach_isGuessedUnarmed_splitsTheGroup)
+{
+    BOOST_TEST(faultyRuns(Mutant::GuessesUnarmed, {3, 4000, 2000}) > 0);
+}
+
 BOOST_AUTO_TEST_CASE(agents_heedReplacedCoordinators_groupSplits)
 {
     BOOST_TEST(faultyRuns(Mutant::DeafToTerms, {3, 2000, 2000}) > 0);
--- /dev/null
+++ b/libs/group/tests/rankwitnesstest.cpp
@@ -0,0 +1,119 @@
+#include "group/mapswitch.h"
+#include "group/rankwitness.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace magnolia::group
+{
+
+namespace
+{
+
+constexpr std::uint32_t Ranks = 4;
+constexpr std::uint32_t Lost = 1; ///< The rank of the coordinator that can't be reached.
+constexpr std::uint64_t Term = 7;
+constexpr std::uint64_t Epoch = 2;
+
+std::uint64_t versionOf(std::uint64_t term, std::uint64_t count)
+{
+    std::uint64_t first = 1;
+    while (MapSwitch::termOf(first) < term) {
+        first *= 2;
+    }
+    while (MapSwitch::termOf(first) > term) {
+        first -= first / 64 + 1;
+    }
+    return first + count;
+}
+
+/** All agents but the lost rank's were told the same fresh change. */
+struct WitnessFixture {
+    WitnessFixture()
+    {
+        for (std::uint32_t rank = 0; rank < Ranks; ++rank) {
+            memories.push_back({.told = version, .isFresh = true, .peerArm = {}, .map = version - 1});
+        }
+    }
+
+    std::optional<RankWitness::Proof> judge()
+    {
+        for (std::uint32_t rank = 0; rank < Ranks; ++rank) {
+            if (rank != Lost && rank != unheard) {
+                witness.heard(rank, memories[rank]);
+            }
+        }
+        return witness.judge({.rank = Lost, .size = Ranks, .epoch = Epoch, .term = Term});
+    }
+
+    PeerArm arm(bool isAccepted) const
+    {
+        return {.rank = Lost, .epoch = Epoch, .version = version, .step = 90, .isAccepted = isAccepted};
+    }
+
+    const std::uint64_t version = versionOf(Term, 3);
+    std::vector<RankMemory> memories;
+    std::optional<std::uint32_t> unheard;
+    RankWitness witness;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RankWitnessTest, WitnessFixture)
+
+BOOST_AUTO_TEST_CASE(orderToArm_nobodyGaveIt_rankIsNotArmed)
+{
+    const auto proof = judge();
+    BOOST_REQUIRE(proof.has_value());
+    BOOST_TEST(!proof->armed.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(orderToArm_engineTookIt_rankIsArmed)
+{
+    memories[3].peerArm = arm(true);
+    const auto proof = judge();
+    BOOST_REQUIRE(proof.has_value());
+    BOOST_TEST((proof->armed == ArmedMap{.version = version, .step = 90}));
+}
+
+BOOST_AUTO_TEST_CASE(orderToArm_hadNoAnswer_nothingIsProved)
+{
+    memories[3].peerArm = arm(false);
+    BOOST_TEST(!judge().has_value());
+    memories[2].peerArm = arm(true); // Tried again by another.
+    BOOST_TEST(judge()->armed.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(orderToArm_ofAnEarlierChange_countsOnlyWhileThatIsNotInUse)
+{
+    memories[3].peerArm = arm(false);
+    memories[3].peerArm->version = version - 1;
+    BOOST_TEST(judge().has_value());
+    for (RankMemory &memory : memories) {
+        memory.map = version - 2; // That change never came to be.
+    }
+    BOOST_TEST(!judge().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(agent_startedAgainOrWasNotHeard_nothingIsProved)
+{
+    memories[2] = {.told = 0, .isFresh = false, .peerArm = {}, .map = version - 1};
+    BOOST_TEST(!judge().has_value());
+    memories[2] = memories[0];
+    unheard = 0;
+    witness.reset();
+    BOOST_TEST(!judge().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(change_undoesAnotherOrIsOfAnEarlierTerm_nothingIsProved)
+{
+    memories[2].isFresh = false;
+    BOOST_TEST(!judge().has_value());
+    for (RankMemory &memory : memories) {
+        memory = {.told = versionOf(Term - 1, 3), .isFresh = true, .peerArm = {}, .map = 0};
+    }
+    BOOST_TEST(!judge().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace magnolia::group
--- a/libs/group/tests/rankworld.h
+++ b/libs/group/tests/rankworld.h
@@ -3,6 +3,7 @@
 
 #include "base/random.h"
 #include "group/mapswitch.h"
+#include "group/rankwitness.h"
 
 #include <algorithm>
 #include <optional>
@@ -21,11 +22,19 @@
     BelievesOrders, ///< An order counts as carried out once it was given.
     ReusedVersions, ///< A successor counts its versions as its predecessor did.
     DeafToTerms, ///< Agents heed a coordinator that has been replaced.
+    ArmsItself, ///< A coordinator's own agent arms its rank.
+    ForgetfulDeputy, ///< An agent that has started again vouches for what it does not remember.
+    UndoneIsFresh, ///< A change that undoes another counts as begun while nothing was armed.
+    GuessesUnarmed, ///< A rank that can't be reached counts as not armed, whatever the others remember.
 };
 
 /**
  * A group of engines as they are published to behave, agents, and coordinators that come and go.
  *
+ * An instance may freeze: its engine goes on with the group, but neither it nor the agent beside it can be reached, what is sent
+ * there comes late or never, and a coordinator there goes on when it wakes, as if nothing had been. Agents may start again, and
+ * forget what they were told.
+ *
  * Orders may be lost, carried out late or twice, and their answers never count. Engines don't compare maps. Before each
  * pass it is checked that all ranks have the same map, by version and content.
  */
@@ -39,7 +48,7 @@
         double doubledShare = 0.1; ///< Of those carried out at once that are carried out again later.
     };
 
-    RankWorld(Options options, std::uint64_t seed) : options_(options), random_(seed), engines_(options.ranks), agentTerms_(options.ranks, 0)
+    RankWorld(Options options, std::uint64_t seed) : options_(options), random_(seed), engines_(options.ranks), agentTerms_(options.ranks, 0), memories_(options.ranks)
     {
         for (std::uint32_t rank = 0; rank < options.ranks; ++rank) {
             engines_[rank].content = rank;
@@ -51,7 +60,10 @@
     void step()
     {
         now_ += std::chrono::milliseconds(draw(1, 20));
-        switch (draw(0, 11)) {
+        if (frozen_ && now_ >= *wakesAt_) {
+            frozen_.reset();
+        }
+        switch (draw(0, 12)) {
         case 0:
         case 1:
             runPass();
@@ -77,6 +89,11 @@
                 formAnew();
             }
             break;
+        case 7:
+            if (draw(0, 40) == 0) {
+                freezeOrRestart();
+            }
+            break;
         default:
             report(draw(0, options_.ranks - 1));
             tick(current_);
@@ -91,6 +108,7 @@
         options_.doubledShare = 0;
         late_.clear();
         rival_.reset();
+        frozen_.reset();
         isSettling_ = true;
         const std::uint64_t before = step_;
         for (int round = 0; round < 2000; ++round) {
@@ -120,6 +138,11 @@
     {
         return step_;
     }
+    /** How often a successor went on by the others' word. */
+    std::uint64_t vouched() const
+    {
+        return vouched_;
+    }
 
 private:
     using Content = std::uint64_t; ///< Stands for the experts of a map; the same everywhere if the maps are the same.
@@ -139,12 +162,21 @@
         std::uint64_t term = 0;
         MapSwitch change;
         BootTime begunAt{};
+        std::uint32_t at = 0; ///< The rank of its instance.
+        RankWitness witness{};
+        std::optional<std::uint64_t> predecessorTerm{};
+        std::uint32_t predecessorAt = 0;
+        std::vector<BootTime> heardAt{}; ///< By rank.
+        std::uint64_t epoch = 0;
     };
 
+    /** An order on its way to an engine, or a command on its way to the agent that is to give it. */
     struct Late {
         std::uint32_t rank = 0;
         RankOrder order;
         std::uint64_t epoch = 0;
+        std::optional<std::uint32_t> via{}; ///< Of a command.
+        std::uint64_t term = 0; ///< Of a command.
     };
 
     std::uint32_t draw(std::uint32_t least, std::uint32_t most)
@@ -158,13 +190,40 @@
 
     void takeOver()
     {
+        const std::uint32_t at = draw(0, options_.ranks - 1);
+        if (at == frozen_) {
+            return;
+        }
+        // Who did not follow the one before does not know where that was.
+        const bool knowsPredecessor = current_.term > 0 && agentTerms_[at] == current_.term && at != current_.at;
+        const std::uint32_t predecessorAt = current_.at;
+        const std::uint64_t predecessorTerm = current_.term;
         if (current_.term > 0) {
             rival_ = current_; // Cut off from some, it goes on all the same.
         }
         ++terms_;
         const std::uint64_t versions = options_.mutant == Mutant::ReusedVersions ? 1 : terms_;
-        current_ = {.term = terms_, .change = MapSwitch({.term = versions})};
+        current_ = {.term = terms_, .change = MapSwitch({.term = versions}), .begunAt = now_, .at = at};
+        current_.heardAt.assign(options_.ranks, BootTime());
+        current_.predecessorAt = predecessorAt;
+        if (knowsPredecessor) {
+            current_.predecessorTerm = predecessorTerm;
+        }
         current_.change.setCurrent(mapOf(0));
+        current_.change.setOwnRank(at);
+        agentTerms_[at] = terms_;
+    }
+
+    void freezeOrRestart()
+    {
+        const std::uint32_t rank = draw(0, options_.ranks - 1);
+        if (draw(0, 3) == 0) {
+            memories_[rank] = {};
+        } else if (!frozen_) {
+            // Most often the coordinator's: it is the one that gives orders.
+            frozen_ = draw(0, 2) > 0 ? current_.at : rank;
+            wakesAt_ = now_ + std::chrono::milliseconds(draw(50, 3000));
+        }
     }
 
     void formAnew()
@@ -173,6 +232,7 @@
         for (Engine &engine : engines_) {
             engine = {.highest = engine.highest, .content = engine.content};
         }
+        // Links outlive an epoch, and so does what agents were told.
     }
 
     /** A map whose content is one number. */
@@ -198,37 +258,139 @@
 
     void report(std::uint32_t rank)
     {
+        if (rank == frozen_) {
+            return;
+        }
         if (draw(0, 3) > 0 || agentTerms_[rank] == 0) {
             agentTerms_[rank] = std::max(agentTerms_[rank], current_.term);
         }
         if (agentTerms_[rank] == current_.term) {
-            current_.change.reported(stateOf(rank), now_);
+            hear(current_, rank);
         }
         const bool isHeardByRival = options_.mutant == Mutant::DeafToTerms || (rival_ && agentTerms_[rank] == rival_->term);
         if (rival_ && isHeardByRival) {
-            rival_->change.reported(stateOf(rank), now_);
+            hear(*rival_, rank);
         }
     }
 
+    void hear(Coordinator &coordinator, std::uint32_t rank)
+    {
+        if (coordinator.at == frozen_) {
+            return;
+        }
+        coordinator.change.reported(stateOf(rank), now_);
+        if (coordinator.epoch != epoch_) {
+            coordinator.epoch = epoch_;
+            coordinator.witness.reset();
+        }
+        RankMemory memory = memories_[rank];
+        memory.map = engines_[rank].map;
+        coordinator.witness.heard(rank, memory);
+        coordinator.heardAt[rank] = now_;
+    }
+
     void tick(Coordinator &coordinator)
     {
-        if (coordinator.change.isIdle() && !isSettling_) {
+        if (coordinator.at == frozen_) {
+            return;
+        }
+        vouch(coordinator);
+        if (coordinator.change.canBegin() && !isSettling_) {
             coordinator.change.begin(mapOf(1 + draw(0, 1000)), mapOf(0), now_);
             ++switches_;
         }
         for (const AddressedOrder &addressed : coordinator.change.due(now_)) {
-            const bool isHeeded = options_.mutant == Mutant::DeafToTerms || agentTerms_[addressed.rank] <= coordinator.term;
-            if (!isHeeded) {
-                continue;
-            }
-            agentTerms_[addressed.rank] = std::max(agentTerms_[addressed.rank], coordinator.term);
-            give(addressed);
+            send(coordinator, addressed);
             if (options_.mutant == Mutant::BelievesOrders) {
                 believe(coordinator, addressed);
             }
         }
     }
 
+    void vouch(Coordinator &coordinator)
+    {
+        constexpr std::chrono::milliseconds Soonest{120};
+        if (coordinator.change.phase() != MapSwitch::Phase::Unknown || !coordinator.predecessorTerm || now_ - coordinator.begunAt < Soonest) {
+            return;
+        }
+        const std::uint32_t absent = coordinator.predecessorAt;
+        for (std::uint32_t rank = 0; rank < coordinator.change.size(); ++rank) {
+            if ((coordinator.change.rank(rank) != nullptr) == (rank == absent)) {
+                return;
+            }
+        }
+        auto proof = coordinator.witness.judge(
+            {.rank = absent, .size = coordinator.change.size(), .epoch = coordinator.change.epoch(), .term = *coordinator.predecessorTerm});
+        if (options_.mutant == Mutant::GuessesUnarmed) {
+            proof = RankWitness::Proof{};
+        }
+        if (proof && coordinator.change.size() > 0) {
+            coordinator.change.vouch(absent, proof->armed, now_);
+            ++vouched_;
+        }
+    }
+
+    void send(Coordinator &coordinator, AddressedOrder addressed)
+    {
+        const bool isOwnArm = addressed.rank == coordinator.at && addressed.order.kind == RankOrderKind::Arm;
+        if (options_.mutant == Mutant::ArmsItself && isOwnArm) {
+            addressed.via = addressed.rank;
+        }
+        if (options_.mutant == Mutant::UndoneIsFresh) {
+            addressed.order.isFresh = true;
+        }
+        const bool isFromAfar = addressed.via == coordinator.at && addressed.rank != coordinator.at;
+        if (isFromAfar && hasHeardAll(coordinator)) {
+            giveTo({.rank = addressed.rank, .order = addressed.order, .epoch = epoch_});
+        } else if (!isFromAfar) {
+            deliver({.rank = addressed.rank, .order = addressed.order, .epoch = epoch_, .via = addressed.via, .term = coordinator.term});
+        }
+    }
+
+    bool hasHeardAll(const Coordinator &coordinator) const
+    {
+        constexpr std::chrono::milliseconds Silence{400};
+        for (std::uint32_t rank = 0; rank < options_.ranks; ++rank) {
+            if (rank != coordinator.at && now_ - coordinator.heardAt[rank] > Silence) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** A command reaches the agent that is to give the order. */
+    void deliver(const Late &command)
+    {
+        const std::uint32_t via = *command.via;
+        if (via == frozen_) {
+            late_.push_back(command);
+            return;
+        }
+        if (options_.mutant != Mutant::DeafToTerms && agentTerms_[via] > command.term) {
+            return;
+        }
+        agentTerms_[via] = std::max(agentTerms_[via], command.term);
+        Late order{.rank = command.rank, .order = command.order, .epoch = command.epoch};
+        RankMemory &memory = memories_[via];
+        if (command.order.kind == RankOrderKind::Prepare) {
+            memory.told = command.order.version;
+            memory.isFresh = command.order.isFresh;
+        }
+        if (command.rank == via) {
+            giveTo(order);
+            return;
+        }
+        PeerArm arm{.rank = command.rank, .epoch = command.order.epoch, .version = command.order.version, .step = command.order.step};
+        arm.isAccepted = memory.peerArm && memory.peerArm->version == arm.version && memory.peerArm->step == arm.step && memory.peerArm->isAccepted;
+        memory.peerArm = arm;
+        if (giveTo(order) && engines_[command.rank].armed == ArmedMap{.version = arm.version, .step = arm.step}) {
+            memory.peerArm->isAccepted = true;
+        }
+        if (options_.mutant == Mutant::ForgetfulDeputy && draw(0, 3) == 0) {
+            memory.peerArm.reset(); // It starts again, and vouches all the same.
+        }
+    }
+
     /** What a coordinator would see that takes an order for its effect. */
     void believe(Coordinator &coordinator, const AddressedOrder &addressed)
     {
@@ -239,17 +401,18 @@
         coordinator.change.reported(state, now_);
     }
 
-    void give(const AddressedOrder &addressed)
+    /** An order reaches an engine, now or later. @return true if it was carried out now, and the engine said so. */
+    bool giveTo(const Late &order)
     {
-        const Late late{.rank = addressed.rank, .order = addressed.order, .epoch = epoch_};
-        if (chance(options_.lateShare)) {
-            late_.push_back(late);
-            return;
+        if (order.rank == frozen_ || chance(options_.lateShare)) {
+            late_.push_back(order);
+            return false;
         }
-        carryOut(late);
+        carryOut(order);
         if (chance(options_.doubledShare)) {
-            late_.push_back(late);
+            late_.push_back(order);
         }
+        return true;
     }
 
     void carryOutLate()
@@ -260,8 +423,15 @@
         const std::size_t index = draw(0, static_cast<std::uint32_t>(late_.size()) - 1);
         const Late late = late_[index];
         late_.erase(late_.begin() + static_cast<std::ptrdiff_t>(index));
-        if (draw(0, 4) > 0) {
-            carryOut(late); // Else it is lost.
+        if (draw(0, 4) == 0) {
+            return; // It is lost.
+        }
+        if (late.via) {
+            deliver(late);
+        } else if (late.rank == frozen_) {
+            late_.push_back(late);
+        } else {
+            carryOut(late);
         }
     }
 
@@ -338,6 +508,10 @@
     std::uint64_t step_ = 0;
     std::vector<Engine> engines_;
     std::vector<std::uint64_t> agentTerms_;
+    std::vector<RankMemory> memories_; ///< Of the agents.
+    std::optional<std::uint32_t> frozen_; ///< Rank of an instance that can't be reached.
+    std::optional<BootTime> wakesAt_;
+    std::uint64_t vouched_ = 0;
     std::uint64_t terms_ = 0;
     Coordinator current_{.term = 0, .change = MapSwitch(MapSwitch::Options{})};
     std::optional<Coordinator> rival_;
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -239,6 +239,13 @@
     fields.bytes("c", message.counts, Optional);
     fields.number("xv", message.expertsVersion, Optional);
     fields.bytes("x", message.experts, Optional);
+    fields.number("tv", message.toldVersion, Optional);
+    fields.flag("tf", message.isToldFresh, Optional);
+    fields.number("pv", message.peerArmVersion, Optional);
+    fields.number("pe", message.peerArmEpoch, Optional);
+    fields.number("ps", message.peerArmStep, Optional);
+    fields.number("pk", message.peerArmRank, Optional);
+    fields.flag("pa", message.isPeerArmAccepted, Optional);
 }
 
 template<typename F, Either<RankCommand> M>
@@ -252,6 +259,10 @@
     fields.number("sp", message.step, Optional);
     fields.number("b", message.mapBase, Optional);
     fields.bytes("x", message.map, Optional);
+    fields.flag("f", message.isFresh, Optional);
+    fields.number("co", message.coordinator, Optional);
+    fields.text("pn", message.peerEngine, Optional);
+    fields.number("pk", message.peerRank, Optional);
 }
 
 template<typename F, Either<ProofQuestion> M>
