--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -204,7 +204,7 @@
         };
     };
     ticket_ = places_->wait({.receivedAt = request_.receivedAt, .objective = route_->latencyObjective, .priority = priority().value_or(MiddlePriority)},
-                  {.begin = ifWaiting(&Forwarding::sendNext), .refuse = ifWaiting(&Forwarding::refuseWithoutPlace)});
+                            {.begin = ifWaiting(&Forwarding::sendNext), .refuse = ifWaiting(&Forwarding::refuseWithoutPlace)});
     startTimer();
 }
 
--- a/libs/group/include/group/replicaplanner.h
+++ b/libs/group/include/group/replicaplanner.h
@@ -54,8 +54,7 @@
      * @param paces by rank, how many times as long as usual it takes; 1 where none is given.
      * @return nothing if no change is worth it.
      */
-    std::optional<ReplicaPlan>
-    plan(const RankExperts &current, std::span<const std::vector<double>> shares, std::span<const double> paces = {}) const;
+    std::optional<ReplicaPlan> plan(const RankExperts &current, std::span<const std::vector<double>> shares, std::span<const double> paces = {}) const;
 
     /** @return sum over sets of the slowest rank's time; 1 for each set with an even spread and no slow rank. */
     static double load(const RankExperts &map, std::span<const std::vector<double>> shares, std::span<const double> paces = {});
--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -420,15 +420,12 @@
             return; // It has reported, or another has not.
         }
     }
-    const auto proof =
-        witness_.judge({.rank = predecessor_.rank, .size = switch_.size(), .epoch = switch_.epoch(), .term = predecessor_.term});
+    const auto proof = witness_.judge({.rank = predecessor_.rank, .size = switch_.size(), .epoch = switch_.epoch(), .term = predecessor_.term});
     if (!proof) {
         return;
     }
-    log()->info("The others prove the state of a rank that can't be reached rank={} armed={} term={}",
-                predecessor_.rank,
-                proof->armed.has_value(),
-                predecessor_.term);
+    log()->info(
+        "The others prove the state of a rank that can't be reached rank={} armed={} term={}", predecessor_.rank, proof->armed.has_value(), predecessor_.term);
     vouched_ = predecessor_.rank;
     isMapOld_ = true;
     switch_.vouch(predecessor_.rank, proof->armed, now);
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -1,8 +1,8 @@
 #ifndef MAGNOLIA_GROUP_COORDINATOR_H
 #define MAGNOLIA_GROUP_COORDINATOR_H
 
-#include "group/engineport.h"
 #include "group/changepolicy.h"
+#include "group/engineport.h"
 #include "group/grouptask.h"
 #include "group/mapswitch.h"
 #include "group/rankreach.h"
--- a/libs/group/src/groupcodec.h
+++ b/libs/group/src/groupcodec.h
@@ -2,8 +2,8 @@
 #define MAGNOLIA_GROUP_GROUPCODEC_H
 
 #include "base/failure.h"
-#include "group/rankwitness.h"
 #include "group/rankstate.h"
+#include "group/rankwitness.h"
 #include "mapcourier.h"
 #include "wire/messages.h"
 
--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -345,18 +345,16 @@
     if (engine == nullptr) {
         engine = dialEngine_(address);
     }
-    engine->order(order, guarded<OrderOutcome>([this, given](OrderOutcome outcome) {
-                      const bool isThis = memory_.peerArm && memory_.peerArm->version == given.version && memory_.peerArm->step == given.step;
-                      log()->debug("Armed for its coordinator rank={} version={} step={} accepted={}",
-                                   given.rank,
-                                   given.version,
-                                   given.step,
-                                   outcome == OrderOutcome::Accepted);
-                      if (isThis && outcome == OrderOutcome::Accepted) {
-                          memory_.peerArm->isAccepted = true;
-                          publish();
-                      }
-                  }));
+    engine->order(
+        order, guarded<OrderOutcome>([this, given](OrderOutcome outcome) {
+            const bool isThis = memory_.peerArm && memory_.peerArm->version == given.version && memory_.peerArm->step == given.step;
+            log()->debug(
+                "Armed for its coordinator rank={} version={} step={} accepted={}", given.rank, given.version, given.step, outcome == OrderOutcome::Accepted);
+            if (isThis && outcome == OrderOutcome::Accepted) {
+                memory_.peerArm->isAccepted = true;
+                publish();
+            }
+        }));
 }
 
 void GroupTaskImpl::carryOut(const RankOrder &order)
--- a/libs/group/src/mapswitch.cpp
+++ b/libs/group/src/mapswitch.cpp
@@ -244,8 +244,7 @@
         }
         break;
     case Phase::Undoing:
-        if (all([](const RankState &state) { return !state.armed; })
-            && allReached([this](const RankState &state) { return state.prepared == undoVersion_; })) {
+        if (all([](const RankState &state) { return !state.armed; }) && allReached([this](const RankState &state) { return state.prepared == undoVersion_; })) {
             enter(Phase::UndoReleasing, now);
         }
         break;
--- a/libs/group/src/replicaplanner.cpp
+++ b/libs/group/src/replicaplanner.cpp
@@ -32,8 +32,13 @@
 {
 public:
     SetPlacement(std::vector<std::vector<std::uint16_t>> held, std::span<const double> shares, std::span<const double> paces)
-        : held_(std::move(held)), shares_(shares), paces_(paces), holders_(shares.size()), newCopies_(held_.size(), 0), work_(held_.size(), 0.0),
-          changed_(held_.size(), 0.0)
+        : held_(std::move(held))
+        , shares_(shares)
+        , paces_(paces)
+        , holders_(shares.size())
+        , newCopies_(held_.size(), 0)
+        , work_(held_.size(), 0.0)
+        , changed_(held_.size(), 0.0)
     {
         for (std::uint32_t rank = 0; rank < held_.size(); ++rank) {
             for (const std::uint16_t expert : held_[rank]) {
@@ -227,8 +232,7 @@
     return sum;
 }
 
-std::optional<ReplicaPlan>
-ReplicaPlanner::plan(const RankExperts &current, std::span<const std::vector<double>> shares, std::span<const double> paces) const
+std::optional<ReplicaPlan> ReplicaPlanner::plan(const RankExperts &current, std::span<const std::vector<double>> shares, std::span<const double> paces) const
 {
     const std::vector<double> pacesOfRanks = pacesOf(current, paces);
     std::vector<SetPlacement> sets;
--- a/libs/group/tests/rankwitnesstest.cpp
+++ b/libs/group/tests/rankwitnesstest.cpp
@@ -1,5 +1,5 @@
-#include "group/mapswitch.h"
 #include "group/rankwitness.h"
+#include "group/mapswitch.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/libs/group/tests/rankworld.h
+++ b/libs/group/tests/rankworld.h
@@ -48,7 +48,8 @@
         double doubledShare = 0.1; ///< Of those carried out at once that are carried out again later.
     };
 
-    RankWorld(Options options, std::uint64_t seed) : options_(options), random_(seed), engines_(options.ranks), agentTerms_(options.ranks, 0), memories_(options.ranks)
+    RankWorld(Options options, std::uint64_t seed)
+        : options_(options), random_(seed), engines_(options.ranks), agentTerms_(options.ranks, 0), memories_(options.ranks)
     {
         for (std::uint32_t rank = 0; rank < options.ranks; ++rank) {
             engines_[rank].content = rank;
--- a/libs/routing/include/routing/streamgate.h
+++ b/libs/routing/include/routing/streamgate.h
@@ -28,6 +28,9 @@
  * - so many at a time that have had no event yet: after an outage the backlog would else be read at once, in passes that make
  *   all of it late, and those who come meanwhile as well.
  *
+ * After a standstill of the group still fewer begin at a time for some seconds. Nobody begins while all places of the endpoints are
+ * taken, as far as is known: what waits there could not be overtaken by one that can still be in time.
+ *
  * Those who can still be in time go before those who can't any more, but one of a few turns is always theirs. Who would
  * not have a place before the caller loses patience is refused at once. Each instance decides for itself from its own streams;
  * those of a service see the same pauses. Pure. Not thread-safe.
@@ -165,7 +168,7 @@
     double wantedUse_ = 0; ///< Part of the endpoints' places with which pauses would be in time.
     double use_ = 0; ///< Part of the places in use, weighted by age.
     double demanded_ = 0; ///< The same with requests that wait there.
-    double fullAt_ = 0; ///< Streams of this instance in progress, smoothed over the reports.
+    double reportedWith_ = 0; ///< Streams of this instance in progress, smoothed over the reports.
     double useWeight_ = 0;
     BootTime useAt_;
     std::optional<BootClock::duration> firstEventTime_; ///< Smoothed.
--- a/libs/routing/src/streamgate.cpp
+++ b/libs/routing/src/streamgate.cpp
@@ -48,7 +48,7 @@
     demanded_ = demanded_ * factor + static_cast<double>(report.running + report.waiting) / report.slots;
     useWeight_ = useWeight_ * factor + 1;
     useAt_ = now;
-    fullAt_ += (static_cast<double>(inProgress_) - fullAt_) * NewPart;
+    reportedWith_ += (static_cast<double>(inProgress_) - reportedWith_) * NewPart;
 }
 
 void StreamGate::paused(BootClock::duration pause, Duration objective, const StepModel &steps, BootTime now)
@@ -91,8 +91,8 @@
 {
     const bool isKnown = useWeight_ > 0 && now - useAt_ < options_.useHalfLife;
     const double demanded = isKnown ? demanded_ / useWeight_ : 0;
-    // Reports come with answers that begin. Scaled by what has ended since, they hold while none begins.
-    return demanded > options_.fullUse && static_cast<double>(inProgress_) * options_.fullUse >= fullAt_ / demanded * options_.fullUse;
+    // Reports come only with answers that begin: while none does, this instance's streams that have ended since tell of free places.
+    return demanded > options_.fullUse && static_cast<double>(inProgress_) >= reportedWith_ / demanded;
 }
 
 bool StreamGate::isForLoad() const
--- a/libs/routing/tests/streamgatetest.cpp
+++ b/libs/routing/tests/streamgatetest.cpp
@@ -210,6 +210,20 @@
     BOOST_TEST((gate.expectedWait() > 5s));
 }
 
+BOOST_AUTO_TEST_CASE(endpoints_allPlacesTaken_streamsBeginAsOthersEnd)
+{
+    for (int stream = 0; stream < 30; ++stream) {
+        gate.began();
+        gate.firstEvent(100ms);
+        gate.reported({.running = 10, .waiting = 2, .slots = 10}, now);
+    }
+    BOOST_TEST(!gate.takesNow(now));
+    for (int stream = 0; stream < 15; ++stream) {
+        gate.ended(true);
+    }
+    BOOST_TEST(gate.takesNow(now));
+}
+
 BOOST_AUTO_TEST_CASE(instances_more_eachHasItsPart)
 {
     gate.setCapacity(12, 4);
