group: a state is noted the same way whatever it was read for

Symptom: a group's map could stay as it was for good after it had formed anew. Sequence: a rank started again while its agent gave it an order; the state that is read after an order was the first of the new epoch. Cause: only the look that is made now and then forgot the experts of the epoch before, and then the epoch was no news to it. Now one function notes a state, and experts are read anew unless version and epoch are those of the state.

--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -81,6 +81,7 @@
 private:
     void drawPatience();
     void poll();
+    bool noteState(const RankState &state);
     void takeState(const RankState &state);
     void takeCounts(const ExpertCounts &counts);
     void readHeldIfNew();
@@ -189,27 +190,34 @@
     }));
 }
 
-void GroupTaskImpl::takeState(const RankState &state)
+/** Whatever the state was read for. @return false if it is of an earlier run of the engine, and not believed. */
+bool GroupTaskImpl::noteState(const RankState &state)
 {
     if (state_ && state.incarnation < state_->incarnation) {
-        return; // An answer of the run before, overtaken by one of this.
-    }
-    const bool isOtherRun = state_ && state.incarnation != state_->incarnation;
-    if (!state_ || state_->epoch != state.epoch || isOtherRun) {
-        isHeldKnown_ = false;
+        return false; // An answer that was overtaken by one of this run.
     }
-    if (isOtherRun) {
+    if (state_ && state.incarnation != state_->incarnation) {
         log()->info("The engine has started again incarnation={} before={}", state.incarnation, state_->incarnation);
+        isHeldKnown_ = false;
         counted_.reset();
         news_.clear();
     }
-    if (state.isOpen && (!state_ || !state_->isOpen)) {
+    state_ = state;
+    return true;
+}
+
+void GroupTaskImpl::takeState(const RankState &state)
+{
+    const std::optional<RankState> before = state_;
+    if (!noteState(state)) {
+        return;
+    }
+    if (state.isOpen && (!before || !before->isOpen)) {
         // All agents see the group open at the same moment, most of them long without a coordinator's word.
         heardAt_ = std::max(heardAt_, BootClock::now() - options_.patience);
         drawPatience();
     }
-    const bool hasChanged = !state_ || isNewsForSwitch(*state_, state);
-    state_ = state;
+    const bool hasChanged = !before || isNewsForSwitch(*before, state);
     readHeldIfNew();
     contendIfSilent();
     const BootTime now = BootClock::now();
@@ -244,7 +252,8 @@
 
 void GroupTaskImpl::readHeldIfNew()
 {
-    if (isHeldKnown_ && held_.version == state_->map) {
+    // Versions begin anew with each epoch.
+    if (isHeldKnown_ && held_.version == state_->map && held_.epoch == state_->epoch) {
         return;
     }
     engine_.readHeld(guarded<Result<HeldExperts>>([this](Result<HeldExperts> held) {
@@ -394,9 +403,7 @@
                     "Order kind={} version={} step={} outcome={}", toString(kind), version, step, outcome == OrderOutcome::Conflict ? "conflict" : "unknown");
             }
             engine_.readState(guarded<Result<RankState>>([this](Result<RankState> state) {
-                const bool isLate = state && state_ && state->incarnation < state_->incarnation;
-                if (state && !isLate) {
-                    state_ = *state;
+                if (state && noteState(*state)) {
                     publish();
                 }
             }));
--- a/libs/group/tests/grouptasktest.cpp
+++ b/libs/group/tests/grouptasktest.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace magnolia::group
@@ -54,6 +55,10 @@
         const bool hasBegun = order.step <= step_;
         switch (order.kind) {
         case RankOrderKind::Prepare:
+            if (std::exchange(formsAnewOnOrder, false)) {
+                ++epoch; // With map 0, which is in use anyway.
+                return OrderOutcome::Conflict;
+            }
             engine.prepared = order.version;
             engine.preparedMap = order.map;
             return OrderOutcome::Accepted;
@@ -100,6 +105,7 @@
 
     std::uint16_t hot = 0; ///< Most choices fall on this expert.
     std::uint64_t epoch = 1;
+    bool formsAnewOnOrder = false; ///< As a rank starts again just when it is given an order to prepare.
 
 private:
     static constexpr Duration Pass{20};
@@ -300,6 +306,17 @@
     BOOST_TEST(!group.isSplit());
 }
 
+BOOST_AUTO_TEST_CASE(group_formsAnewWhileAnOrderIsGiven_mapIsChangedAgain)
+{
+    // Symptom: a group's map was never changed again. Sequence: an engine started again while its agent gave it an order; the
+    // state read after the order was the first of the new epoch. Cause: only the look at the engine that is made now and then
+    // forgot the experts known of the epoch before, and after an order the epoch was no news to it any more.
+    group.formsAnewOnOrder = true;
+    BOOST_REQUIRE(runUntil([this] { return group.epoch == 2; }));
+    BOOST_TEST(runUntil([this] { return group.map() != 0; }));
+    BOOST_TEST(!group.isSplit());
+}
+
 BOOST_AUTO_TEST_CASE(coordinator_dies_anotherTakesOverAndChangesTheMap)
 {
     // Symptom: maps were no longer changed after all instances had been restarted. Sequence: the coordinator's process ended,
