--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -199,12 +199,10 @@
                     record.isLeaving,
                     record.incarnation);
     }
-    if (isOtherRun) {
-        core_.connections.closeAll(record.id); // They lead to a run that has ended.
+    if (isOtherRun || current->record.isLeaving) {
+        core_.connections.closeAll(record.id); // They lead to a run that has ended, or soon will.
     }
-    if (current->record.isLeaving) {
-        core_.connections.closeAll(record.id);
-    } else if (isNews) {
+    if (isNews && !current->record.isLeaving) {
         core_.tellNews();
     }
 }
--- a/libs/group/include/group/grouptask.h
+++ b/libs/group/include/group/grouptask.h
@@ -23,7 +23,7 @@
     Duration poll{100}; ///< Between two looks at the engine; free from its own instance.
     Duration switchPoll{30}; ///< The same while a change of map is in progress: each step of it waits for a report.
     Duration patience{700}; ///< Without a coordinator's word for so long another takes its place.
-    Duration heldPatience{250}; ///< The same for the agent whose rank holds a pass: the group stands still meanwhile, and is told of each 60 ms.
+    Duration heldPatience{250}; ///< The same for the agent whose rank holds a pass: its group stands still, and a coordinator sends a word each 60 ms then.
     Duration demandHalfLife{200}; ///< Age at which a choice of an expert counts half.
     Duration planInterval{100}; ///< Between two looks for a better map.
     std::size_t experts = 0; ///< In each set.
--- a/libs/group/include/group/mapswitch.h
+++ b/libs/group/include/group/mapswitch.h
@@ -114,7 +114,12 @@
         return phase_ == Phase::Idle;
     }
     /** Idle, and all ranks have reported. */
-    bool canBegin() const;
+    bool canBegin() const
+    {
+        return isIdle() && !vouchedRank();
+    }
+    /** @return the rank whose state is proved and not reported. */
+    std::optional<std::uint32_t> vouchedRank() const;
     std::uint64_t epoch() const
     {
         return epoch_;
--- a/libs/group/include/group/rankwitness.h
+++ b/libs/group/include/group/rankwitness.h
@@ -3,7 +3,6 @@
 
 #include "group/rankstate.h"
 
-#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -23,7 +22,7 @@
  * Proves, from what all other agents remember, whether the rank of a coordinator that can't be reached any more is armed.
  *
  * An instance that freezes or loses its network amid a change of map leaves a group that is held, and an engine of which
- * nobody can say whether it is armed: to release the pass could split the group, and not to costs callers the whole outage.
+ * nobody can say whether it is armed: releasing the pass could split the group, and waiting costs callers the whole outage.
  * But a coordinator's own rank is armed by another agent, and last of all. So if all others still remember the change in
  * progress, and none has given that order, that rank is not armed; if one has and the engine took it, it is. An agent that has
  * started again meanwhile remembers nothing, and then nothing is proved.
--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -166,12 +166,10 @@
         isMapOld_ = true;
         reach_.reset(switch_.size());
         witness_.reset();
-        vouched_.reset();
     }
     if (report.epoch == heldEpoch_ && report.rank < switch_.size()) {
         reach_.heard(report.rank, now);
         witness_.heard(report.rank, memoryOf(report));
-        vouched_ = vouched_ == report.rank ? std::nullopt : vouched_;
     }
     if (!report.experts.empty() && report.epoch == heldEpoch_) {
         if (auto experts = decodeSetExperts(report.experts)) {
@@ -426,7 +424,6 @@
     }
     log()->info(
         "The others prove the state of a rank that can't be reached rank={} armed={} term={}", predecessor_.rank, proof->armed.has_value(), predecessor_.term);
-    vouched_ = predecessor_.rank;
     isMapOld_ = true;
     switch_.vouch(predecessor_.rank, proof->armed, now);
 }
@@ -436,7 +433,8 @@
 {
     if (std::exchange(isMapOld_, false)) {
         currentMap_ = joinedMap();
-        const auto fallback = currentMap_ || !vouched_ ? currentMap_ : mapWithout(*vouched_);
+        const auto absent = switch_.vouchedRank();
+        const auto fallback = currentMap_ || !absent ? currentMap_ : mapWithout(*absent);
         if (fallback) {
             switch_.setCurrent(*fallback);
         }
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -116,7 +116,6 @@
     MapSwitch switch_;
     RankReach reach_;
     RankWitness witness_;
-    std::optional<std::uint32_t> vouched_; ///< The rank whose state is proved by the others' word.
     BootTime begunAt_; ///< When this term began.
     std::string ownEngine_; ///< Address of the engine beside this agent, once the list of members has told it.
     ChangePolicy policy_;
--- a/libs/group/src/mapswitch.cpp
+++ b/libs/group/src/mapswitch.cpp
@@ -88,9 +88,10 @@
     return version / VersionsPerTerm;
 }
 
-bool MapSwitch::canBegin() const
+std::optional<std::uint32_t> MapSwitch::vouchedRank() const
 {
-    return isIdle() && std::none_of(ranks_.begin(), ranks_.end(), [](const Member &member) { return member.isVouched; });
+    const auto vouched = std::find_if(ranks_.begin(), ranks_.end(), [](const Member &member) { return member.isVouched; });
+    return vouched == ranks_.end() ? std::nullopt : std::optional(vouched->state->rank);
 }
 
 void MapSwitch::reset(const RankState &state)
--- a/libs/group/src/rankwitness.cpp
+++ b/libs/group/src/rankwitness.cpp
@@ -2,6 +2,8 @@
 
 #include "group/mapswitch.h"
 
+#include <algorithm>
+
 namespace magnolia::group
 {
 
