--- a/libs/routing/include/routing/endpointroster.h
+++ b/libs/routing/include/routing/endpointroster.h
@@ -14,6 +14,12 @@
 namespace magnolia::routing
 {
 
+/** An endpoint whose entry has gone from the list. */
+struct Absence {
+    std::string id;
+    BootTime goneAt; ///< When it counts as gone.
+};
+
 /**
  * Decides which endpoints of the platform's list count as there.
  *
@@ -36,10 +42,12 @@
     explicit EndpointRoster(Options options) : options_(options) {}
 
     void put(std::string_view id);
-    void removed(std::string_view id, BootTime now);
 
-    /** All ids of a full read: the others are removed. */
-    void all(std::span<const std::string> ids, BootTime now);
+    /** @return nothing if its entry was known to have gone. */
+    std::optional<Absence> removed(std::string_view id, BootTime now);
+
+    /** All ids of a full read: the others are removed. @return those whose entries were there before. */
+    std::vector<Absence> all(std::span<const std::string> ids, BootTime now);
 
     void listLost();
     void listRegained(BootTime now);
--- a/libs/routing/src/endpointroster.cpp
+++ b/libs/routing/src/endpointroster.cpp
@@ -10,23 +10,29 @@
     due_.insert_or_assign(std::string(id), std::nullopt);
 }
 
-void EndpointRoster::removed(std::string_view id, BootTime now)
+std::optional<Absence> EndpointRoster::removed(std::string_view id, BootTime now)
 {
     const auto found = due_.find(id);
     if (found == due_.end() || found->second) {
-        return;
+        return std::nullopt;
     }
     const bool isAfterOutage = regainedAt_ && now < *regainedAt_ + options_.comeBackTime;
     found->second = isAfterOutage ? *regainedAt_ + options_.comeBackTime : now;
+    return Absence{.id = found->first, .goneAt = *found->second};
 }
 
-void EndpointRoster::all(std::span<const std::string> ids, BootTime now)
+std::vector<Absence> EndpointRoster::all(std::span<const std::string> ids, BootTime now)
 {
+    std::vector<Absence> absences;
     for (const auto &[id, due] : due_) {
-        if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
-            removed(id, now);
+        if (std::find(ids.begin(), ids.end(), id) != ids.end()) {
+            continue;
+        }
+        if (auto absence = removed(id, now)) {
+            absences.push_back(std::move(*absence));
         }
     }
+    return absences;
 }
 
 void EndpointRoster::listLost()
--- a/libs/store/include/store/feedfollower.h
+++ b/libs/store/include/store/feedfollower.h
@@ -82,7 +82,13 @@
             return;
         }
         if (std::exchange(isLost_, false)) {
-            observe::logger("store")->info("Answers again table={}", options_.name);
+            const BootTime now = BootClock::now();
+            observe::logger("store")->info("Answers again table={} silent_ms={} question_ms={} unanswered={}",
+                                           options_.name,
+                                           std::chrono::duration_cast<Duration>(now - answeredAt_).count(),
+                                           std::chrono::duration_cast<Duration>(now - askedAt_).count(),
+                                           unanswered_);
+            unanswered_ = 0;
             call(callbacks_.regained);
         }
         retry_ = options_.firstRetry;
@@ -95,6 +101,7 @@
         const BootTime now = BootClock::now();
         const bool wasAll = std::exchange(needsAll_, false);
         version_ = answer->version;
+        answeredAt_ = now;
         const BootTime asOf = clock_.answered(askedAt_, answer->storeTime, now);
         if (wasAll) {
             callbacks_.all(answer->rows);
@@ -107,6 +114,7 @@
 
     void failed(const Failure &failure)
     {
+        ++unanswered_;
         if (!std::exchange(isLost_, true)) {
             observe::logger("store")->warn("Does not answer table={} cause={}", options_.name, failure.detail);
             call(callbacks_.lost);
@@ -130,6 +138,8 @@
     http::Timer timer_;
     StoreClock clock_;
     BootTime askedAt_;
+    BootTime answeredAt_; ///< The epoch: not yet.
+    int unanswered_ = 0; ///< Questions that failed since the store last answered.
     std::uint64_t version_ = 0;
     bool needsAll_ = true;
     bool isLost_ = false;
