routing, store, peers, forward: an entry no longer takes its own loss of the store for the list's outage

Cause: an entry that alone had lost its way to the store counted the time in which lapsed registrations come back (2.2 s) from its own first answer, and kept an endpoint that had left for that time; a question that hung put that first answer off by up to 1.4 s. Ruled out: the removal told late (the first answer has it).

Setting [endpoints] renewal_interval_ms.

--- /dev/null
+++ b/libs/forward/tests/endpointlisttest.cpp
@@ -0,0 +1,125 @@
+#include "forward/endpointlist.h"
+
+#include "loopfixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace magnolia::forward
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using routing::EndpointListing;
+using routing::EndpointRecord;
+using Texts = std::vector<std::string>;
+
+/** Notes what it is told of endpoints. */
+class EndpointNotes final : public ForwardTask
+{
+public:
+    void putRoutes(routing::RouteTable::Pointer /*table*/) override {}
+    void confirmRoutes(BootTime /*asOf*/) override {}
+    void setInstances(std::size_t /*instances*/) override {}
+    void putEndpoint(const EndpointRecord &record) override
+    {
+        told.push_back((record.isLeaving ? "leaving " : "there ") + record.id);
+    }
+    void removeEndpoint(std::string_view id) override
+    {
+        told.push_back("gone " + std::string(id));
+    }
+    void drain() override {}
+    std::string callersAddress() const override
+    {
+        return {};
+    }
+    std::string readyAddress() const override
+    {
+        return {};
+    }
+
+    Texts told;
+};
+
+EndpointRecord recordOf(const std::string &id, bool isLeaving = false)
+{
+    return {.id = id, .service = "s", .address = "10.0.0.9:80", .dataCentre = "north", .slots = 4, .isLeaving = isLeaving, .incarnation = 0};
+}
+
+struct EndpointListFixture : http::LoopFixture {
+    EndpointListFixture()
+    {
+        list.takeAll({.version = 10, .endpoints = {recordOf("a"), recordOf("b")}});
+        list.confirmed(BootClock::now());
+        notes.told.clear();
+    }
+
+    EndpointNotes notes;
+    EndpointList list{loop.get(), notes, {.renewalInterval = 1200ms, .comeBackTime = 100ms}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EndpointListTest, EndpointListFixture)
+
+BOOST_AUTO_TEST_CASE(changes_told_areInForceAtOnce)
+{
+    list.takeChanges({.version = 11, .endpoints = {recordOf("b", true), recordOf("c")}}, std::array<std::string, 1>{"a"});
+    BOOST_TEST(notes.told == (Texts{"leaving b", "there c", "gone a"}), boost::test_tools::per_element());
+    BOOST_TEST(list.version() == 11U);
+}
+
+BOOST_AUTO_TEST_CASE(answers_olderThanWhatAPeerTold_areNotTaken)
+{
+    // Symptom: an endpoint that had left was there again. Sequence: a peer told of its leaving; then came the store's answer
+    // to a question that had been put before. Cause: whichever came last was believed.
+    EndpointList peer(loop.get(), notes, {});
+    peer.takeAll({.version = 20, .endpoints = {recordOf("b")}});
+    notes.told.clear();
+    list.takePeers(peer.document());
+    BOOST_TEST(notes.told == (Texts{"there b", "gone a"}), boost::test_tools::per_element());
+    notes.told.clear();
+    list.takeChanges({.version = 15, .endpoints = {recordOf("a")}}, {});
+    list.takeAll({.version = 15, .endpoints = {recordOf("a")}});
+    BOOST_TEST(notes.told.empty());
+    BOOST_TEST(list.version() == 20U);
+}
+
+BOOST_AUTO_TEST_CASE(peersList_unreadable_changesNothing)
+{
+    list.takePeers("no list");
+    BOOST_TEST(notes.told.empty());
+    BOOST_TEST(list.version() == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(document_afterARemoval_isWithoutIt)
+{
+    list.takeChanges({.version = 11, .endpoints = {}}, std::array<std::string, 1>{"a"});
+    const auto told = routing::decodeListing(list.document());
+    BOOST_REQUIRE(told.has_value());
+    BOOST_TEST((told->endpoints == std::vector{recordOf("b")}));
+    BOOST_TEST(told->version == 11U);
+}
+
+BOOST_AUTO_TEST_CASE(entries_missingAfterAnOutage_areGivenUpOnceTheyCouldBeBack)
+{
+    EndpointList lapsed(loop.get(), notes, {.renewalInterval = 1200ms, .comeBackTime = 100ms});
+    lapsed.takeAll({.version = 10, .endpoints = {recordOf("a")}});
+    lapsed.confirmed(BootClock::now() - 5s);
+    notes.told.clear();
+    lapsed.takeAll({.version = 11, .endpoints = {}});
+    lapsed.confirmed(BootClock::now());
+    BOOST_TEST(notes.told.empty());
+    BOOST_TEST(runUntil([this] { return !notes.told.empty(); }, 2000ms));
+    BOOST_TEST(notes.told == (Texts{"gone a"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace magnolia::forward
--- a/libs/routing/include/routing/endpointroster.h
+++ b/libs/routing/include/routing/endpointroster.h
@@ -23,12 +23,15 @@
 /**
  * Decides which endpoints of the platform's list count as there.
  *
- * An endpoint whose entry goes is gone at once, except around an outage of the list itself: entries lapse then since
- * nobody could renew them, and the endpoints that live come back soon after its return. Taking those for gone would empty
- * whole services each time. Pure: time comes in, and the task that owns it asks for due removals. Not thread-safe.
+ * An endpoint whose entry goes is gone at once, unless the list itself may have been away for so long that entries lapsed
+ * since nobody could renew them: the endpoints that live come back soon after its return, and taking those for gone would
+ * empty whole services each time. Whether it may have been away is judged by when it was last known to serve, by this
+ * process's own word or by a peer's: an instance that alone has lost its way to the list must not take that for the list's
+ * outage. Pure: time comes in, and the task that owns it asks for due removals. Not thread-safe.
  *
  * @code
  * roster.put(record);
+ * roster.confirmed(asOf, now); // after all that an answer told
  * for (const std::string &id : roster.takeDue(now)) { table.remove(id); }
  * @endcode
  */
@@ -36,12 +39,13 @@
 {
 public:
     struct Options {
-        Duration comeBackTime{2200}; ///< After the list's return; an entry still missing then is gone.
+        Duration renewalInterval{1200}; ///< Between two renewals of an entry by its endpoint; as the platform states it.
+        Duration comeBackTime{2200}; ///< After the list's return; an entry still missing then is gone. Stated as "about two seconds".
     };
 
     explicit EndpointRoster(Options options) : options_(options) {}
 
-    void put(std::string_view id);
+    void put(const EndpointRecord &record);
 
     /** @return nothing if its entry was known to have gone. */
     std::optional<Absence> removed(std::string_view id, BootTime now);
@@ -49,20 +53,31 @@
     /** All ids of a full read: the others are removed. @return those whose entries were there before. */
     std::vector<Absence> all(std::span<const std::string> ids, BootTime now);
 
-    void listLost();
-    void listRegained(BootTime now);
+    /** All that was told is the list as of then, by the list's own answer or a peer's. */
+    void confirmed(BootTime asOf, BootTime now);
 
-    /** @return ids that are gone by now; each once. */
+    /** @return ids that are gone by now; each once. None while the list may be away: its return decides. */
     std::vector<std::string> takeDue(BootTime now);
 
-    /** @return when the next removal is due; nothing if none is. */
+    /** @return when the next removal is due, if the list is heard of until then; nothing if none is. */
     std::optional<BootTime> nextDue() const;
 
+    /** @return the endpoints that count as there. */
+    std::vector<EndpointRecord> listed() const;
+
 private:
+    struct Entry {
+        EndpointRecord record;
+        std::optional<BootTime> goneAt; ///< Set if it is to be removed.
+    };
+
+    bool mayHaveBeenAway(BootTime now) const;
+    void heard(BootTime now);
+
     Options options_;
-    std::map<std::string, std::optional<BootTime>, std::less<>> due_; ///< By id; a time if it is to be removed.
-    bool isListLost_ = false;
-    std::optional<BootTime> regainedAt_;
+    std::map<std::string, Entry, std::less<>> entries_; ///< By id.
+    std::optional<BootTime> knownAsOf_; ///< When the list last served, as far as is known.
+    BootTime comeBackUntil_; ///< Until then entries may still come back that lapsed while the list was away.
 };
 
 } // namespace magnolia::routing
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -24,6 +24,8 @@
     std::uint32_t slots = 1; ///< Requests that it runs at once.
     bool isLeaving = false;
     std::uint64_t incarnation = 0; ///< Unix millisecond of its start; 0: not stated. A later one has nothing of an earlier.
+
+    bool operator==(const EndpointRecord &) const = default;
 };
 
 /** What an endpoint says of its load. */
--- /dev/null
+++ b/libs/routing/src/endpointlisting.cpp
@@ -0,0 +1,65 @@
+#include "routing/endpointlisting.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace magnolia::routing
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+// Members are short: with 1,300 endpoints each byte counts.
+json encoded(const EndpointRecord &record)
+{
+    return {{"i", record.id},
+            {"s", record.service},
+            {"a", record.address},
+            {"d", record.dataCentre},
+            {"n", record.slots},
+            {"l", record.isLeaving},
+            {"b", record.incarnation}};
+}
+
+EndpointRecord decoded(const json &record)
+{
+    return {.id = record.at("i").get<std::string>(),
+            .service = record.at("s").get<std::string>(),
+            .address = record.at("a").get<std::string>(),
+            .dataCentre = record.at("d").get<std::string>(),
+            .slots = record.at("n").get<std::uint32_t>(),
+            .isLeaving = record.at("l").get<bool>(),
+            .incarnation = record.at("b").get<std::uint64_t>()};
+}
+
+} // namespace
+
+std::string encodeListing(const EndpointListing &listing)
+{
+    json endpoints = json::array();
+    for (const EndpointRecord &record : listing.endpoints) {
+        endpoints.push_back(encoded(record));
+    }
+    std::string bytes;
+    json::to_cbor(json{{"v", listing.version}, {"e", std::move(endpoints)}}, bytes);
+    return bytes;
+}
+
+Result<EndpointListing> decodeListing(std::string_view bytes)
+{
+    try {
+        const json document = json::from_cbor(bytes);
+        EndpointListing listing{.version = document.at("v").get<std::uint64_t>(), .endpoints = {}};
+        for (const json &record : document.at("e")) {
+            listing.endpoints.push_back(decoded(record));
+        }
+        return listing;
+    } catch (const json::exception &error) {
+        return fail(ErrorCode::BadInput, Verdict::NotRun, std::string("the list of endpoints can't be read: ") + error.what());
+    }
+}
+
+} // namespace magnolia::routing
--- a/libs/routing/src/endpointroster.cpp
+++ b/libs/routing/src/endpointroster.cpp
@@ -5,26 +5,53 @@
 namespace magnolia::routing
 {
 
-void EndpointRoster::put(std::string_view id)
+namespace
 {
-    due_.insert_or_assign(std::string(id), std::nullopt);
+
+// The platform drops an entry after three renewals are missed. The last one may have come one interval before the list went
+// away, so no entry lapses in an outage that is shorter than two.
+constexpr int RenewalsMissedInOutage = 2;
+
+} // namespace
+
+void EndpointRoster::put(const EndpointRecord &record)
+{
+    entries_.insert_or_assign(record.id, Entry{.record = record, .goneAt = {}});
+}
+
+/** Whether entries may have lapsed since the list was last known to serve. */
+bool EndpointRoster::mayHaveBeenAway(BootTime now) const
+{
+    return knownAsOf_ && now - *knownAsOf_ >= RenewalsMissedInOutage * options_.renewalInterval;
+}
+
+/**
+ * The list is heard of again. Only a silence in which entries can lapse opens the time in which they may come back: an
+ * endpoint that left while this instance alone was cut off was otherwise kept for that time too, and got requests long after
+ * all other instances had given it up.
+ */
+void EndpointRoster::heard(BootTime now)
+{
+    if (mayHaveBeenAway(now)) {
+        comeBackUntil_ = now + options_.comeBackTime;
+    }
 }
 
 std::optional<Absence> EndpointRoster::removed(std::string_view id, BootTime now)
 {
-    const auto found = due_.find(id);
-    if (found == due_.end() || found->second) {
+    heard(now);
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.goneAt) {
         return std::nullopt;
     }
-    const bool isAfterOutage = regainedAt_ && now < *regainedAt_ + options_.comeBackTime;
-    found->second = isAfterOutage ? *regainedAt_ + options_.comeBackTime : now;
-    return Absence{.id = found->first, .goneAt = *found->second};
+    found->second.goneAt = std::max(now, comeBackUntil_);
+    return Absence{.id = found->first, .goneAt = *found->second.goneAt};
 }
 
 std::vector<Absence> EndpointRoster::all(std::span<const std::string> ids, BootTime now)
 {
     std::vector<Absence> absences;
-    for (const auto &[id, due] : due_) {
+    for (const auto &[id, entry] : entries_) {
         if (std::find(ids.begin(), ids.end(), id) != ids.end()) {
             continue;
         }
@@ -35,29 +62,22 @@
     return absences;
 }
 
-void EndpointRoster::listLost()
+void EndpointRoster::confirmed(BootTime asOf, BootTime now)
 {
-    isListLost_ = true;
-}
-
-void EndpointRoster::listRegained(BootTime now)
-{
-    if (isListLost_) {
-        isListLost_ = false;
-        regainedAt_ = now;
-    }
+    heard(now);
+    knownAsOf_ = knownAsOf_ ? std::max(*knownAsOf_, asOf) : asOf;
 }
 
 std::vector<std::string> EndpointRoster::takeDue(BootTime now)
 {
     std::vector<std::string> taken;
-    if (isListLost_) {
-        return taken; // Its return decides.
+    if (mayHaveBeenAway(now)) {
+        return taken;
     }
-    for (auto entry = due_.begin(); entry != due_.end();) {
-        if (entry->second && *entry->second <= now) {
+    for (auto entry = entries_.begin(); entry != entries_.end();) {
+        if (entry->second.goneAt && *entry->second.goneAt <= now) {
             taken.push_back(entry->first);
-            entry = due_.erase(entry);
+            entry = entries_.erase(entry);
         } else {
             ++entry;
         }
@@ -68,12 +88,22 @@
 std::optional<BootTime> EndpointRoster::nextDue() const
 {
     std::optional<BootTime> next;
-    for (const auto &[id, due] : due_) {
-        if (due && (!next || *due < *next)) {
-            next = due;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.goneAt && (!next || *entry.goneAt < *next)) {
+            next = entry.goneAt;
         }
     }
     return next;
 }
 
+std::vector<EndpointRecord> EndpointRoster::listed() const
+{
+    std::vector<EndpointRecord> records;
+    records.reserve(entries_.size());
+    for (const auto &[id, entry] : entries_) {
+        records.push_back(entry.record);
+    }
+    return records;
+}
+
 } // namespace magnolia::routing
--- a/libs/settings/include/settings/sections.h
+++ b/libs/settings/include/settings/sections.h
@@ -95,6 +95,11 @@
     std::string address; ///< "IP:PORT"
 };
 
+/** [endpoints]: what the platform states of the list of endpoints. */
+struct EndpointsSettings {
+    Duration renewalInterval{1200}; ///< Between two renewals of an entry by its endpoint; entries lapse after three are missed.
+};
+
 /** [engine]: the engine that an agent stands beside, as a rank of its group. */
 struct EngineSettings {
     std::string address; ///< "IP:PORT"
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -46,6 +46,7 @@
     ListenSettings readiness;
     LinksSettings links; ///< With the address that it listens on.
     StoreSettings store;
+    EndpointsSettings endpoints;
     KeysSettings keys;
     RetriesSettings retries;
     MetricsSettings metrics;
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -142,6 +142,11 @@
     reader.readAddress("address", out.address, AddressUse::Connect, Presence::Required);
 }
 
+void readSection(TableReader &reader, EndpointsSettings &out)
+{
+    reader.readDuration("renewal_interval_ms", out.renewalInterval, {.least = 50, .most = 10 * Minute});
+}
+
 void readSection(TableReader &reader, EngineSettings &out)
 {
     reader.readAddress("address", out.address, AddressUse::Connect, Presence::Required);
@@ -247,6 +252,7 @@
     file.section("readiness", out.readiness);
     file.section("links", ListeningLinks{.links = out.links});
     file.section("store", out.store);
+    file.section("endpoints", out.endpoints);
     file.section("keys", out.keys);
     file.section("retries", out.retries);
     file.section("metrics", out.metrics);
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -235,8 +235,9 @@
     bool operator==(const RankCommand &) const = default;
 };
 
-/** Process to a peer that follows the same document: as of when did you last know that yours was the newest? */
+/** Process to a peer that follows the same documents: as of when did you last know that yours was the newest? */
 struct ProofQuestion {
+    std::uint8_t subject = 0; ///< Which of the documents is asked for, as counted by both.
     std::uint64_t version = 0; ///< That the asking process knows; 0: none.
     std::uint64_t askedAt = 0; ///< By the asking process's own clock, in ns; comes back in the answer.
 
@@ -245,6 +246,7 @@
 
 /** Answer to a ProofQuestion. */
 struct ProofAnswer {
+    std::uint8_t subject = 0; ///< As in the question.
     std::uint64_t askedAt = 0; ///< As in the question.
     std::uint64_t version = 0; ///< That this process knows; 0: none, and the rest says nothing.
     Duration age{0}; ///< Since that version was last known to be the newest.
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -268,6 +268,7 @@
 template<typename F, Either<ProofQuestion> M>
 void visitFields(F &fields, M &message)
 {
+    fields.number("sj", message.subject, Optional);
     fields.number("v", message.version, Optional);
     fields.number("at", message.askedAt, Required);
 }
@@ -275,6 +276,7 @@
 template<typename F, Either<ProofAnswer> M>
 void visitFields(F &fields, M &message)
 {
+    fields.number("sj", message.subject, Optional);
     fields.number("at", message.askedAt, Required);
     fields.number("v", message.version, Optional);
     fields.duration("ag", message.age, Required);
