--- a/libs/forward/tests/endpointlisttest.cpp
+++ b/libs/forward/tests/endpointlisttest.cpp
@@ -15,7 +15,6 @@
 {
 
 using namespace std::chrono_literals;
-using routing::EndpointListing;
 using routing::EndpointRecord;
 using Texts = std::vector<std::string>;
 
