--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -3,7 +3,6 @@
 #include "observe/log.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace magnolia::group
@@ -70,6 +69,7 @@
                 .mostNewPerSet = options.mostNewPerSet,
                 .mostNewPerRank = copiesInTime(options),
                 .leastGain = options.leastGain})
+    , demand_(options.demandHalfLife)
     , switches_(metrics.counter("magnolia_group_switches_total", "Changes of the expert map that were begun."))
     , copies_(metrics.counter("magnolia_group_copies_total", "Experts that ranks were told to take on."))
     , timer_(loop, [this] { tick(); })
@@ -191,17 +191,7 @@
         log()->warn("Counts can't be read rank={} cause={}", report.rank, counts.error().detail);
         return;
     }
-    const BootTime now = BootClock::now();
-    if (demand_.size() != counts->size()) {
-        demand_.assign(counts->size(), 0.0);
-        demandAt_ = now;
-    }
-    const double age = std::chrono::duration<double>(now - demandAt_) / std::chrono::duration<double>(options_.demandHalfLife);
-    const double factor = std::exp2(-age);
-    demandAt_ = now;
-    for (std::size_t index = 0; index < demand_.size(); ++index) {
-        demand_[index] = demand_[index] * factor + static_cast<double>((*counts)[index]);
-    }
+    demand_.took(*counts, BootClock::now());
 }
 
 bool Coordinator::isInSwitch() const
@@ -490,24 +480,6 @@
     return map;
 }
 
-std::vector<std::vector<double>> Coordinator::shares(std::size_t sets) const
-{
-    const std::size_t experts = demand_.size() / sets;
-    std::vector<std::vector<double>> shares(sets);
-    for (std::size_t set = 0; set < sets; ++set) {
-        const auto first = demand_.begin() + static_cast<std::ptrdiff_t>(set * experts);
-        shares[set].assign(first, first + static_cast<std::ptrdiff_t>(experts));
-        double total = 0;
-        for (const double share : shares[set]) {
-            total += share;
-        }
-        for (double &share : shares[set]) {
-            share /= std::max(total, 1.0);
-        }
-    }
-    return shares;
-}
-
 std::vector<double> Coordinator::rankPaces() const
 {
     std::vector<double> paces(switch_.size(), 1.0);
@@ -522,10 +494,10 @@
 void Coordinator::plan()
 {
     const auto &current = currentMap();
-    if (!current || current->empty() || demand_.empty()) {
+    if (!current || current->empty() || demand_.isEmpty()) {
         return;
     }
-    const auto demand = shares(current->size());
+    const auto demand = demand_.shares(current->size());
     const auto paces = rankPaces();
     if (!policy_.wantsChange(ReplicaPlanner::load(*current, demand, paces) / static_cast<double>(current->size()))) {
         return;
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -3,6 +3,7 @@
 
 #include "group/changepolicy.h"
 #include "group/engineport.h"
+#include "group/expertdemand.h"
 #include "group/grouptask.h"
 #include "group/mapswitch.h"
 #include "group/rankreach.h"
@@ -102,7 +103,6 @@
     std::optional<RankExperts> mapWithout(std::uint32_t absent) const;
     const std::optional<RankExperts> &currentMap();
     std::optional<RankExperts> joinedMap() const;
-    std::vector<std::vector<double>> shares(std::size_t sets) const;
     std::vector<double> rankPaces() const;
 
     event_base *loop_;
@@ -129,8 +129,7 @@
     std::optional<RankExperts> currentMap_; ///< Joined from held_.
     bool isMapOld_ = true; ///< held_ has changed since.
     bool isOvertaken_ = false;
-    std::vector<double> demand_; ///< Decayed choices, set by set.
-    BootTime demandAt_;
+    ExpertDemand demand_;
     BootTime plannedAt_;
     BootTime followedAt_;
     BootTime refreshedAt_;
--- /dev/null
+++ b/libs/group/tests/expertdemandtest.cpp
@@ -0,0 +1,69 @@
+#include "group/expertdemand.h"
+#include "group/grouptask.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <cstdint>
+
+namespace magnolia::group
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr int Ranks = 12;
+constexpr std::uint64_t ChoicesOfReport = 1000;
+
+/** Twelve ranks, each of which reports every 100 ms, one after the other. */
+struct ExpertDemandFixture {
+    /** Reports of that time, all choices being of one of two experts. */
+    void reportsFor(Duration time, std::size_t expert)
+    {
+        constexpr Duration Interval = 100ms;
+        const BootTime end = now + time;
+        while (now < end) {
+            std::array<std::uint64_t, 2> counts{};
+            counts.at(expert) = ChoicesOfReport;
+            demand.took(counts, now);
+            now += BootClock::duration(Interval) / Ranks;
+        }
+    }
+
+    double shareOf(std::size_t expert) const
+    {
+        return demand.shares(1).at(0).at(expert);
+    }
+
+    BootTime now = BootTime(1h);
+    ExpertDemand demand{GroupOptions{}.demandHalfLife};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ExpertDemandTest, ExpertDemandFixture)
+
+BOOST_AUTO_TEST_CASE(choices_ofOneExpert_areItsShare)
+{
+    reportsFor(1s, 0);
+    BOOST_TEST(shareOf(0) == 1.0, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(shareOf(1) == 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(oneRanksReport_unlikeTheOthers_isNoMoreThanItsPart)
+{
+    reportsFor(1s, 0);
+    demand.took(std::array<std::uint64_t, 2>{0, ChoicesOfReport}, now);
+    BOOST_TEST(shareOf(1) < 1.0 / Ranks);
+}
+
+BOOST_AUTO_TEST_CASE(ranks_noneHasReported_demandIsEmpty)
+{
+    BOOST_TEST(demand.isEmpty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace magnolia::group
