--- a/libs/store/include/store/feedfollower.h
+++ b/libs/store/include/store/feedfollower.h
@@ -62,6 +62,7 @@
 
     void start()
     {
+        answeredAt_ = BootClock::now();
         ask();
     }
 
@@ -77,7 +78,7 @@
     {
         ++round_;
         isAsking_ = true;
-        put(needsAll_ ? Duration(0) : options_.wait);
+        putQuestion(needsAll_ ? Duration(0) : options_.wait);
     }
 
     void timerFired()
@@ -87,10 +88,10 @@
             return;
         }
         feed_.dropConnections(); // Those that are idle may have fallen silent too.
-        put(Duration(0));
+        putQuestion(Duration(0));
     }
 
-    void put(Duration wait)
+    void putQuestion(Duration wait)
     {
         const BootTime askedAt = BootClock::now();
         ++questions_;
@@ -185,7 +186,7 @@
     Callbacks callbacks_;
     http::Timer timer_;
     StoreClock clock_;
-    BootTime answeredAt_; ///< The epoch: not yet.
+    BootTime answeredAt_; ///< The last answer, or the start.
     BootTime next_; ///< When the timer fires.
     std::uint64_t version_ = 0;
     std::uint64_t round_ = 0;
