--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -42,6 +42,14 @@
         std::uint32_t rank = 0;
     };
 
+    /** What one coordinator begins with. */
+    struct Term {
+        std::string group;
+        std::uint64_t number = 0;
+        Predecessor predecessor;
+        std::vector<std::string> agents; ///< Of the group, as a coordinator before noted them; empty: not known.
+    };
+
     struct Callbacks {
         std::function<void(const RankOrder &)> orderOwn{}; ///< For the engine beside this agent.
         std::function<void()> overtaken{}; ///< A higher term was heard of; may destroy this behind the callback.
@@ -49,9 +57,7 @@
 
     Coordinator(event_base *loop,
                 const GroupOptions &options,
-                std::string group,
-                std::uint64_t term,
-                Predecessor predecessor,
+                Term term,
                 EngineDialer dialEngine,
                 GroupStore &store,
                 observe::Metrics &metrics,
@@ -71,6 +77,7 @@
         std::unique_ptr<wire::LinkDialer> link;
         std::optional<std::uint32_t> rank;
         std::string engineAddress;
+        std::string agentAddress;
         std::unique_ptr<EnginePort> engine; ///< Spoken to only while the agent is silent.
         bool isEngineAsked = false; ///< An answer of the engine is awaited.
         BootTime dialledAt;
@@ -90,7 +97,9 @@
 
     void refreshMembers();
     void takeMembers(const std::vector<MemberAddress> &members);
+    void dialDue(BootTime now);
     void dialMember(const MemberAddress &member);
+    void noteAgents();
     void takeMemberReport(const std::string &id, const wire::RankReport &report);
     void tick();
     void askSilent(BootTime now);
@@ -136,6 +145,8 @@
     std::deque<BulkOrder> bulk_; ///< Waits for the pacer.
     std::optional<std::uint32_t> ownRank_;
     std::map<std::string, Member> members_; ///< By the id of their engine's run.
+    std::vector<MemberAddress> undialled_; ///< Of the last list: of other groups, as far as is known.
+    std::set<std::string, std::less<>> agents_; ///< Addresses of the group's agents, as noted last.
     std::set<std::string> strangers_; ///< Ids of engines of other groups.
     std::map<std::uint32_t, Held> held_; ///< By rank.
     std::optional<std::uint64_t> heldEpoch_; ///< Of held_ and reach_; nothing before the first report.
--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -21,7 +21,7 @@
 
 // What a coordinator is told by all ranks together. All ranks' requests are alike, so that with many ranks or experts each
 // tells of its choices less often, and always of the latest.
-constexpr double CountsPerSecond = 400'000;
+constexpr double CountsPerSecond = 160'000;
 
 constexpr Duration ExpertsInterval{1000};
 
@@ -466,9 +466,7 @@
     const auto predecessor = followed_.term == row_.term ? followed_ : Coordinator::Predecessor{};
     coordinator_ = std::make_unique<Coordinator>(loop_,
                                                  options_,
-                                                 state_->group,
-                                                 term,
-                                                 predecessor,
+                                                 Coordinator::Term{.group = state_->group, .number = term, .predecessor = predecessor, .agents = row_.agents},
                                                  dialEngine_,
                                                  store_,
                                                  metrics_,
--- a/libs/group/src/mapcodec.cpp
+++ b/libs/group/src/mapcodec.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <numeric>
 #include <utility>
 
 namespace magnolia::group
@@ -15,6 +16,9 @@
 
 using Experts = std::vector<std::uint16_t>;
 
+// Of a count, as a mean: a coordinator adds up many ranks' counts, so that what rounding takes from one evens out.
+constexpr std::uint64_t MeanUnits = 4;
+
 constexpr std::uint64_t ExpertsBound = std::uint64_t(std::numeric_limits<std::uint16_t>::max()) + 1;
 
 void putExperts(PackedWriter &writer, const Experts &experts)
@@ -179,10 +183,13 @@
 
 std::string encodeCounts(const std::vector<std::uint64_t> &counts)
 {
+    const std::uint64_t total = std::accumulate(counts.begin(), counts.end(), std::uint64_t(0));
+    const std::uint64_t unit = std::max<std::uint64_t>(total / std::max<std::uint64_t>(counts.size() * MeanUnits, 1), 1);
     PackedWriter writer;
+    writer.put(unit);
     writer.put(counts.size());
     for (const std::uint64_t count : counts) {
-        writer.put(count);
+        writer.put((count + unit / 2) / unit);
     }
     return writer.packed();
 }
@@ -193,9 +200,10 @@
     if (!reader) {
         return tl::unexpected(reader.error());
     }
+    const std::uint64_t unit = reader->take();
     std::vector<std::uint64_t> counts(reader->takeSize());
     for (std::uint64_t &count : counts) {
-        count = reader->take();
+        count = reader->take() * unit;
     }
     return ifWhole(*reader, std::move(counts));
 }
--- a/libs/group/src/mapcodec.h
+++ b/libs/group/src/mapcodec.h
@@ -27,6 +27,7 @@
 std::string encodeSetExperts(const SetExperts &experts);
 Result<SetExperts> decodeSetExperts(std::string_view packed);
 
+/** Counts that are large are rounded, to a multiple that leaves a few bits of each: what matters is how they compare. */
 std::string encodeCounts(const std::vector<std::uint64_t> &counts);
 Result<std::vector<std::uint64_t>> decodeCounts(std::string_view packed);
 
