group: the map put together from what ranks hold is a class of its own, with tests

It stood in the coordinator, which has four jobs besides. Ranks whose lists differ in their number of sets no longer end the process when one is absent: nothing is joined.

--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -214,7 +214,6 @@
         log()->info("New epoch group={} epoch={} size={}", report.group, switch_.epoch(), switch_.size());
         heldEpoch_ = switch_.epoch();
         held_.clear();
-        isMapOld_ = true;
         reach_.reset(switch_.size());
         witness_.reset();
     }
@@ -223,12 +222,10 @@
         witness_.heard(report.rank, memoryOf(report));
         switch_.told(report.rank, report.toldVersion);
     }
-    const auto held = held_.find(report.rank);
-    const bool isHeldNews = held == held_.end() || held->second.version != report.expertsVersion;
-    if (!report.experts.empty() && report.epoch == heldEpoch_ && isHeldNews) {
+    const bool isHeldNews = !report.experts.empty() && report.epoch == heldEpoch_ && !held_.knows(report.rank, report.expertsVersion);
+    if (isHeldNews) {
         if (auto experts = decodeSetExperts(report.experts)) {
-            held_[report.rank] = {.version = report.expertsVersion, .experts = std::move(*experts)};
-            isMapOld_ = true;
+            held_.note(report.rank, report.expertsVersion, std::move(*experts));
         }
     }
     takeDemand(report);
@@ -306,8 +303,7 @@
     }
     members_[id].rank = state.rank;
     reach_.engineAsked(state.rank, askedAt);
-    const auto held = held_.find(state.rank);
-    if (held == held_.end() || held->second.version != state.map) {
+    if (!held_.knows(state.rank, state.map)) {
         askHeld(id, state.rank);
     }
     switch_.reported(state, now);
@@ -317,8 +313,7 @@
 {
     members_[id].engine->readHeld([this, rank, alive = std::weak_ptr<bool>(alive_)](Result<HeldExperts> held) {
         if (!alive.expired() && held && held->epoch == heldEpoch_) {
-            held_[rank] = {.version = held->version, .experts = std::move(held->experts)};
-            isMapOld_ = true;
+            held_.note(rank, held->version, std::move(held->experts));
         }
     });
 }
@@ -496,71 +491,28 @@
     }
     log()->info(
         "The others prove the state of a rank that can't be reached rank={} armed={} term={}", predecessor_.rank, proof->armed.has_value(), predecessor_.term);
-    isMapOld_ = true;
     switch_.vouch(predecessor_.rank, proof->armed, now);
+    noteMap();
 }
 
 /** @return nothing while ranks report different versions. Joined only when a rank's experts changed: reports come often. */
 const std::optional<RankExperts> &Coordinator::currentMap()
 {
-    if (std::exchange(isMapOld_, false)) {
-        currentMap_ = joinedMap();
-        courier_.setBase(currentMap_ ? held_.begin()->second.version : 0, currentMap_.value_or(RankExperts()));
-        const auto absent = switch_.vouchedRank();
-        const auto fallback = currentMap_ || !absent ? currentMap_ : mapWithout(*absent);
-        if (fallback) {
-            switch_.setCurrent(*fallback);
-        }
+    if (held_.takeNews()) {
+        noteMap();
     }
     return currentMap_;
 }
 
-/**
- * The map in use as far as all ranks but one tell it: the absent one holds at least what no other does. Prepared in place of a
- * map that is given up, it costs no rank a copy, and it is never armed.
- */
-std::optional<RankExperts> Coordinator::mapWithout(std::uint32_t absent) const
-{
-    if (held_.empty() || held_.size() + 1 != switch_.size() || held_.contains(absent)) {
-        return std::nullopt;
-    }
-    const std::size_t sets = held_.begin()->second.experts.size();
-    const std::size_t experts = options_.experts;
-    RankExperts map(sets, std::vector<std::vector<std::uint16_t>>(switch_.size()));
-    for (std::size_t set = 0; set < sets; ++set) {
-        std::vector<bool> isHeld(experts, false);
-        for (const auto &[rank, held] : held_) {
-            map[set][rank] = held.experts.at(set);
-            for (const std::uint16_t expert : map[set][rank]) {
-                isHeld.at(expert) = true;
-            }
-        }
-        for (std::size_t expert = 0; expert < experts; ++expert) {
-            if (!isHeld[expert]) {
-                map[set][absent].push_back(static_cast<std::uint16_t>(expert));
-            }
-        }
-    }
-    return map;
-}
-
-std::optional<RankExperts> Coordinator::joinedMap() const
+void Coordinator::noteMap()
 {
-    if (switch_.size() == 0 || held_.size() != switch_.size()) {
-        return std::nullopt;
-    }
-    const std::uint64_t version = held_.begin()->second.version;
-    const std::size_t sets = held_.begin()->second.experts.size();
-    RankExperts map(sets, std::vector<std::vector<std::uint16_t>>(held_.size()));
-    for (const auto &[rank, held] : held_) {
-        if (held.version != version || held.experts.size() != sets) {
-            return std::nullopt; // A switch has not been seen everywhere yet.
-        }
-        for (std::size_t set = 0; set < sets; ++set) {
-            map[set][rank] = held.experts[set];
-        }
+    currentMap_ = held_.joined(switch_.size());
+    courier_.setBase(currentMap_ ? held_.version() : 0, currentMap_.value_or(RankExperts()));
+    const auto absent = switch_.vouchedRank();
+    const auto fallback = currentMap_ || !absent ? currentMap_ : held_.joinedWithout(*absent, switch_.size(), options_.experts);
+    if (fallback) {
+        switch_.setCurrent(*fallback);
     }
-    return map;
 }
 
 std::vector<double> Coordinator::rankPaces() const
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -11,6 +11,7 @@
 #include "group/rankwitness.h"
 #include "group/replicaplanner.h"
 #include "groupcodec.h"
+#include "heldmaps.h"
 #include "http/timer.h"
 #include "mapcodec.h"
 #include "mapcourier.h"
@@ -90,11 +91,6 @@
         RankOrder order;
     };
 
-    struct Held {
-        std::uint64_t version = 0;
-        SetExperts experts;
-    };
-
     void refreshMembers();
     void takeMembers(const std::vector<MemberAddress> &members);
     void dialDue(BootTime now);
@@ -120,9 +116,8 @@
     EnginePort &engineOf(Member &member);
     wire::RankCommand commandFor(const RankOrder &order) const;
     void vouchForPredecessor(BootTime now);
-    std::optional<RankExperts> mapWithout(std::uint32_t absent) const;
     const std::optional<RankExperts> &currentMap();
-    std::optional<RankExperts> joinedMap() const;
+    void noteMap();
     std::vector<double> rankPaces() const;
 
     event_base *loop_;
@@ -148,10 +143,9 @@
     std::vector<MemberAddress> undialled_; ///< Of the last list: of other groups, as far as is known.
     std::set<std::string, std::less<>> agents_; ///< Addresses of the group's agents, as noted last.
     std::set<std::string> strangers_; ///< Ids of engines of other groups.
-    std::map<std::uint32_t, Held> held_; ///< By rank.
+    HeldMaps held_;
     std::optional<std::uint64_t> heldEpoch_; ///< Of held_ and reach_; nothing before the first report.
     std::optional<RankExperts> currentMap_; ///< Joined from held_.
-    bool isMapOld_ = true; ///< held_ has changed since.
     bool isOvertaken_ = false;
     ExpertDemand demand_;
     BootTime plannedAt_;
