--- a/libs/group/tests/mapswitchtest.cpp
+++ b/libs/group/tests/mapswitchtest.cpp
@@ -238,7 +238,7 @@
     return out << size.ranks << " ranks";
 }
 
-const std::vector<WorldSize> WorldSizes{{2, 3000, 600}, {3, 2000, 800}, {12, 300, 2000}, {24, 80, 3000}};
+const std::vector<WorldSize> WorldSizes{{2, 3000, 600}, {3, 2000, 800}, {12, 300, 2000}, {24, 80, 3000}, {64, 400, 12000}};
 
 /** @return 1 if one of the runs ended in a pass on two maps; the others are not needed then. */
 int faultyRuns(Mutant mutant, WorldSize size)
--- a/libs/group/tests/rankworld.h
+++ b/libs/group/tests/rankworld.h
@@ -287,6 +287,7 @@
         RankMemory memory = memories_[rank];
         memory.map = engines_[rank].map;
         coordinator.witness.heard(rank, memory);
+        coordinator.change.told(rank, memory.told);
         coordinator.heardAt[rank] = now_;
     }
 
