--- a/libs/group/include/group/rankstate.h
+++ b/libs/group/include/group/rankstate.h
@@ -54,8 +54,8 @@
     /** @return an empty one where there is none. */
     const RankExperts &operator*() const
     {
-        static const RankExperts None;
-        return map_ ? *map_ : None;
+        static const RankExperts none;
+        return map_ ? *map_ : none;
     }
     bool empty() const
     {
