--- a/libs/settings/tests/settingstest.cpp
+++ b/libs/settings/tests/settingstest.cpp
@@ -175,6 +175,24 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(groupSettings_capacityOfTheInterface_isReadOrTold)
+{
+    const auto textWith = [](const std::string &capacity) {
+        return "[instance]\nname='a'\ndata_centre='n'\n[engine]\naddress='127.0.0.1:1'\nservice='s'\n[links]\naddress='127.0.0.1:0'\n"
+               "keys=[{id='k',secret='a-secret-of-16-and-more'}]\ncapacity_mbps="
+            + capacity + "\n[store]\naddress='127.0.0.1:1'\n[metrics]\naddress='127.0.0.1:0'\n";
+    };
+    const auto settings = parse<GroupSettings>(textWith("6.5"), "f.toml");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->links.capacityMegabits == 6.5);
+    const std::string expected = "f.toml:10:15: 'links.capacity_mbps' must be a number from 0 to 1000000";
+    for (const std::string bad : {"-1", "nan", "'6'"}) {
+        const auto refused = parse<GroupSettings>(textWith(bad), "f.toml");
+        BOOST_REQUIRE(!refused.has_value());
+        BOOST_TEST(toString(refused.error().front()).substr(0, expected.size()) == expected);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ctlSettings_storeGiven_needNoOtherServices)
 {
     const auto settings = parse<CtlSettings>("[store]\naddress='127.0.0.1:1'\n", "f.toml");
