--- a/libs/group/include/group/engineport.h
+++ b/libs/group/include/group/engineport.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -54,7 +53,6 @@
 struct CoordinatorRow {
     std::uint64_t term = 0; ///< Grows with each change; 0: nobody has taken it yet.
     std::string holder; ///< Name of the instance.
-    std::vector<std::string> agents{}; ///< Addresses of the group's agents, as a coordinator noted them last; empty: none did.
 };
 
 /** What an agent needs of the platform's store. */
@@ -69,8 +67,6 @@
                                  std::uint64_t term,
                                  const std::string &holder,
                                  std::function<void(Result<std::optional<std::uint64_t>>)> done) = 0;
-    /** Notes where the agents of a group are, for whoever coordinates it next. */
-    virtual void noteAgents(const std::string &group, std::span<const std::string> agents, std::function<void(Result<void>)> done) = 0;
     virtual void listMembers(std::function<void(Result<std::vector<MemberAddress>>)> done) = 0;
 };
 
--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -28,9 +28,6 @@
 constexpr Duration MissingRefresh{1000};
 constexpr Duration UsualRefresh{15000};
 
-// For the agents that a coordinator before noted to report: then a rank has moved elsewhere.
-constexpr Duration KnownAgentsTime{500};
-
 // An agent that was just dialled reports within some tens of milliseconds.
 constexpr Duration FirstReportTime{250};
 
@@ -81,7 +78,6 @@
                 .mostNewPerRank = copiesInTime(options),
                 .leastGain = options.leastGain})
     , pacer_({.bytesPerSecond = options.linkBytesPerSecond * BulkPart})
-    , agents_(term.agents.begin(), term.agents.end())
     , demand_(options.demandHalfLife)
     , switches_(metrics.counter("magnolia_group_switches_total", "Changes of the expert map that were begun."))
     , copies_(metrics.counter("magnolia_group_copies_total", "Experts that ranks were told to take on."))
@@ -112,60 +108,19 @@
     std::erase_if(members_, [&members](const auto &known) {
         return std::none_of(members.begin(), members.end(), [&known](const MemberAddress &member) { return member.id == known.first; });
     });
-    undialled_.clear();
     for (const MemberAddress &member : members) {
         if (member.agent == options_.listenAddress) {
             ownEngine_ = member.engine;
         } else if (!members_.contains(member.id) && !strangers_.contains(member.id)) {
-            undialled_.push_back(member);
-        }
-    }
-    dialDue(BootClock::now());
-}
-
-/**
- * Dials the agents that are known to be of this group, and the others only if a rank is still missing then: the list has the engines of all groups, and
- * while a coordinator that has just begun shakes hands with all of them, its own group waits.
- */
-void Coordinator::dialDue(BootTime now)
-{
-    const bool isMissing = switch_.phase() == MapSwitch::Phase::Unknown;
-    const bool areAllDue = isMissing && (agents_.empty() || now - begunAt_ >= KnownAgentsTime);
-    std::erase_if(undialled_, [&](const MemberAddress &member) {
-        const bool isDue = areAllDue || agents_.contains(member.agent);
-        if (isDue) {
             dialMember(member);
         }
-        return isDue;
-    });
-}
-
-/** So that a successor, also one that knows nothing, need not look for them among all agents of the service. */
-void Coordinator::noteAgents()
-{
-    std::set<std::string, std::less<>> agents{options_.listenAddress};
-    for (const auto &[id, member] : members_) {
-        if (member.rank && !strangers_.contains(id)) {
-            agents.insert(member.agentAddress);
-        }
     }
-    if (agents == agents_) {
-        return;
-    }
-    agents_ = std::move(agents);
-    const std::vector<std::string> list(agents_.begin(), agents_.end());
-    store_.noteAgents(group_, list, [](const Result<void> &done) {
-        if (!done) {
-            log()->warn("The addresses of the group's agents can't be noted cause={}", done.error().detail);
-        }
-    });
 }
 
 void Coordinator::dialMember(const MemberAddress &member)
 {
     const std::string id = member.id;
     members_[id].engineAddress = member.engine;
-    members_[id].agentAddress = member.agent;
     members_[id].dialledAt = BootClock::now();
     wire::LinkDialer::Callbacks callbacks;
     callbacks.onUp = [this, id](const wire::PeerInfo &) { members_[id].link->send(commandFor({.kind = RankOrderKind::Follow})); };
@@ -335,16 +290,12 @@
         plan();
     }
     if (switch_.phase() != loggedPhase_) {
-        if (loggedPhase_ == MapSwitch::Phase::Unknown) {
-            noteAgents();
-        }
         loggedPhase_ = switch_.phase();
         log()->info("Phase={} version={} epoch={} last_step={}", toString(loggedPhase_), switch_.version(), switch_.epoch(), switch_.lastStep());
     }
     if (now - followedAt_ >= (isInSwitch() ? SwitchFollowInterval : FollowInterval)) {
         sendFollow();
     }
-    dialDue(now);
     const bool isMissing = switch_.phase() == MapSwitch::Phase::Unknown;
     if (now - refreshedAt_ >= (isMissing ? MissingRefresh : UsualRefresh)) {
         refreshMembers();
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -48,7 +48,6 @@
         std::string group;
         std::uint64_t number = 0;
         Predecessor predecessor;
-        std::vector<std::string> agents; ///< Of the group, as a coordinator before noted them; empty: not known.
     };
 
     struct Callbacks {
@@ -78,7 +77,6 @@
         std::unique_ptr<wire::LinkDialer> link;
         std::optional<std::uint32_t> rank;
         std::string engineAddress;
-        std::string agentAddress;
         std::unique_ptr<EnginePort> engine; ///< Spoken to only while the agent is silent.
         bool isEngineAsked = false; ///< An answer of the engine is awaited.
         BootTime dialledAt;
@@ -93,9 +91,7 @@
 
     void refreshMembers();
     void takeMembers(const std::vector<MemberAddress> &members);
-    void dialDue(BootTime now);
     void dialMember(const MemberAddress &member);
-    void noteAgents();
     void takeMemberReport(const std::string &id, const wire::RankReport &report);
     void tick();
     void askSilent(BootTime now);
@@ -141,8 +137,6 @@
     std::deque<BulkOrder> bulk_; ///< Waits for the pacer.
     std::optional<std::uint32_t> ownRank_;
     std::map<std::string, Member> members_; ///< By the id of their engine's run.
-    std::vector<MemberAddress> undialled_; ///< Of the last list: of other groups, as far as is known.
-    std::set<std::string, std::less<>> agents_; ///< Addresses of the group's agents, as noted last.
     std::set<std::string> strangers_; ///< Ids of engines of other groups.
     HeldMaps held_;
     std::optional<std::uint64_t> heldEpoch_; ///< Of held_ and reach_; nothing before the first report.
--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -466,7 +466,7 @@
     const auto predecessor = followed_.term == row_.term ? followed_ : Coordinator::Predecessor{};
     coordinator_ = std::make_unique<Coordinator>(loop_,
                                                  options_,
-                                                 Coordinator::Term{.group = state_->group, .number = term, .predecessor = predecessor, .agents = row_.agents},
+                                                 Coordinator::Term{.group = state_->group, .number = term, .predecessor = predecessor},
                                                  dialEngine_,
                                                  store_,
                                                  metrics_,
--- a/libs/group/tests/grouptasktest.cpp
+++ b/libs/group/tests/grouptasktest.cpp
@@ -222,11 +222,6 @@
         row.holder = holder;
         done(std::optional(row.term));
     }
-    void noteAgents(const std::string & /*group*/, std::span<const std::string> agents, std::function<void(Result<void>)> done) override
-    {
-        row.agents.assign(agents.begin(), agents.end());
-        done({});
-    }
     void listMembers(std::function<void(Result<std::vector<MemberAddress>>)> done) override
     {
         done(members);
@@ -346,34 +341,6 @@
     BOOST_TEST(!group.isSplit());
 }
 
-// Symptom: after all instances had lost power, a group of 64 ranks had its first map seconds after it had opened. Sequence: the successor shook hands with the
-// agents of all groups, three times as many as its own has, while its own waited. Cause: the list has the engines of the whole service, and nothing told whose
-// are whose.
-BOOST_AUTO_TEST_CASE(successor_agentsNotedBefore_dialsNoAgentOfAnotherGroup)
-{
-    BOOST_REQUIRE(runUntil([this] { return group.map() != 0; }));
-    BOOST_REQUIRE(store.row.agents.size() == Ranks);
-    std::size_t dialled = 0;
-    wire::LinkOptions links;
-    links.self = {.role = wire::Role::Agent, .instance = "elsewhere", .dataCentre = "north", .endpoint = {}};
-    links.keys = {{.id = "k", .secret = "a-secret-of-the-test"}};
-    const auto elsewhere = wire::LinkListener::listen(loop.get(), "127.0.0.1:0", links, [&dialled](std::unique_ptr<wire::Link>) {
-        ++dialled;
-        return wire::Link::Callbacks{};
-    });
-    BOOST_REQUIRE(elsewhere.has_value());
-    store.members.push_back({.id = "other", .engine = "engine-0", .agent = (*elsewhere)->address()});
-    const std::uint64_t term = store.row.term;
-    const std::size_t lost = coordinator();
-    agents[lost].reset();
-    agents[lost] = start(static_cast<std::uint32_t>(lost), store.members[lost].agent);
-    BOOST_REQUIRE(runUntil([this, term] { return store.row.term > term; }));
-    const std::uint64_t map = group.map();
-    group.hot = 4;
-    BOOST_TEST(runUntil([this, map] { return group.map() != map; }));
-    BOOST_TEST(dialled == 0U);
-}
-
 // Symptom: a coordinator that was lost was replaced by several in turn, each of which undid what the last had begun, and every agent of the group asked
 // the store. Sequence: all agents waited for the same time and a random part more; the first had the row, but its word reached the others after theirs had
 // ended. Cause: nothing said whose turn it was.
--- a/libs/routing/include/routing/concurrencylimit.h
+++ b/libs/routing/include/routing/concurrencylimit.h
@@ -17,11 +17,10 @@
  * Model engines answer all requests side by side, and each further one makes every pass longer. Beyond a point all streams
  * pause for longer than their route allows: then all are late, where fewer would all be in time. Where that point is depends on
  * which experts are asked for, so it is found from what is seen: a pause that is too long lowers the limit, and it grows again
- * by a part each second, the faster the further pauses stay below the objective: passes that were long for a moment, as demand had moved,
- * must not have callers refused long after the experts' map follows it. Each instance does so for itself; those of a service see the same pauses, since the
- * engines of a group make their passes together. By the engines' published step model it is judged how many streams would have had the pass in time: if that is
- * less than half of the engines' places, the pause has another cause (demand that has just moved, a rank that is gone or held), fewer streams would not help,
- * and nobody is refused for it. Pure. Not thread-safe.
+ * by a part each second. Each instance does so for itself; those of a service see the same pauses, since the engines of a
+ * group make their passes together. By the engines' published step model it is judged how many streams would have had the
+ * pass in time: if that is less than half of the engines' places, the pause has another cause (demand that has just moved, a
+ * rank that is gone or held), fewer streams would not help, and nobody is refused for it. Pure. Not thread-safe.
  *
  * @code
  * limit.paused({.pause = gap, .objective = route.pauseObjective, .inProgress = inProgress}, steps, now);
@@ -34,10 +33,7 @@
     struct Options {
         double leastLeft = 0.85; ///< Part of what is in progress below which one pause does not bring the limit.
         Duration decreaseInterval{600}; ///< One pass is seen by many streams, and its follow-up takes some more.
-        double growthPerSecond = 0.025; ///< Part by which the limit grows while pauses come near the objective.
-        double growthAtEase = 0.6; ///< The same besides, as far as pauses are below the next part.
-        double easePart = 0.9; ///< Of the objective.
-        Duration pauseHalfLife{300}; ///< Age at which a pause counts half.
+        double growthPerSecond = 0.025; ///< Part by which the limit grows.
         double leastUse = 0.5; ///< Part of the endpoints' places; a pause that would need fewer in use is not for load.
         Duration useHalfLife{500}; ///< Age at which an endpoint's report counts half.
         double least = 4; ///< Streams that are always allowed.
@@ -70,18 +66,12 @@
     }
 
 private:
-    void notePause(const Pause &pause, BootTime now);
-    double growthRate() const;
     double limitAt(BootTime now) const;
     double use() const;
 
     Options options_;
-    std::optional<double> limit_; ///< As of grownAt_.
+    std::optional<double> limit_; ///< As of loweredAt_.
     BootTime loweredAt_;
-    BootTime grownAt_;
-    double pauseParts_ = 0; ///< Pauses as parts of their objectives, the latest most.
-    double pauseWeight_ = 0;
-    BootTime pauseAt_;
     double use_ = 0; ///< Part of the places in use, of the latest reports.
     double useWeight_ = 0;
     BootTime useAt_;
--- a/libs/routing/src/concurrencylimit.cpp
+++ b/libs/routing/src/concurrencylimit.cpp
@@ -19,13 +19,6 @@
     return (stepWanted - steps.stepMs) / steps.perRequestMs / slots;
 }
 
-/** @return what a sum of earlier values still counts, when each counts half after a half-life. */
-double decay(BootTime since, BootTime now, Duration halfLife)
-{
-    const double halves = std::chrono::duration<double>(now - since) / std::chrono::duration<double>(halfLife);
-    return std::exp2(-std::max(halves, 0.0));
-}
-
 } // namespace
 
 void ConcurrencyLimit::reported(const LoadReport &report, BootTime now)
@@ -33,31 +26,16 @@
     if (report.slots == 0) {
         return;
     }
-    const double factor = decay(useAt_, now, options_.useHalfLife);
+    const double halves = std::chrono::duration<double>(now - useAt_) / std::chrono::duration<double>(options_.useHalfLife);
+    const double factor = std::exp2(-std::max(halves, 0.0));
     const double use = std::min(static_cast<double>(report.running) / report.slots, 1.0);
     use_ = use_ * factor + use;
     useWeight_ = useWeight_ * factor + 1;
     useAt_ = now;
 }
 
-/** Lets the limit grow up to now, and counts the pause for its further growth. */
-void ConcurrencyLimit::notePause(const Pause &pause, BootTime now)
-{
-    if (limit_) {
-        limit_ = limitAt(now);
-        grownAt_ = now;
-    }
-    if (pause.objective.count() > 0) {
-        const double factor = decay(pauseAt_, now, options_.pauseHalfLife);
-        pauseParts_ = pauseParts_ * factor + std::chrono::duration<double>(pause.pause) / std::chrono::duration<double>(pause.objective);
-        pauseWeight_ = pauseWeight_ * factor + 1;
-        pauseAt_ = now;
-    }
-}
-
 bool ConcurrencyLimit::paused(const Pause &pause, const StepModel &steps, BootTime now)
 {
-    notePause(pause, now);
     const bool isTooLong = pause.objective.count() > 0 && pause.pause > pause.objective;
     const bool isKnown = useWeight_ > 0 && steps.perRequestMs > 0;
     if (!isTooLong || !isKnown || now < loweredAt_ + options_.decreaseInterval) {
@@ -70,7 +48,6 @@
     const double part = std::max(wanted / use(), options_.leastLeft);
     limit_ = std::max(static_cast<double>(pause.inProgress) * part, options_.least);
     loweredAt_ = now;
-    grownAt_ = now;
     return true;
 }
 
@@ -80,15 +57,9 @@
     return use_ / useWeight_;
 }
 
-double ConcurrencyLimit::growthRate() const
-{
-    const double part = pauseWeight_ > 0 ? pauseParts_ / pauseWeight_ : options_.easePart;
-    return options_.growthPerSecond + options_.growthAtEase * std::max(options_.easePart - part, 0.0);
-}
-
 double ConcurrencyLimit::limitAt(BootTime now) const
 {
-    return *limit_ * std::exp(growthRate() * std::chrono::duration<double>(now - grownAt_).count());
+    return *limit_ * std::exp(options_.growthPerSecond * std::chrono::duration<double>(now - loweredAt_).count());
 }
 
 } // namespace magnolia::routing
--- a/libs/routing/tests/concurrencylimittest.cpp
+++ b/libs/routing/tests/concurrencylimittest.cpp
@@ -67,30 +67,6 @@
     BOOST_TEST(limit.hasRoom(40, Start + 20s));
 }
 
-// Symptom: at high load a fifth of all streams were refused for seconds although passes took half of what is allowed. Sequence: demand moved, one or two passes
-// were a little too long, and the limit fell below what was in progress; the map followed within half a second. Cause: the limit grew as slowly as under
-// lasting load. Pattern: high load with shifts of demand each few seconds.
-BOOST_AUTO_TEST_CASE(pauses_farBelowTheObjectiveAgain_letTheLimitGrowWithinASecond)
-{
-    endpointsRun(9);
-    limit.paused(pauseOf(140ms, 40), steps, Start);
-    BOOST_TEST(!limit.hasRoom(40, Start));
-    for (BootTime now = Start; now < Start + 1s; now += 10ms) {
-        limit.paused(pauseOf(60ms, 34), steps, now);
-    }
-    BOOST_TEST(limit.hasRoom(40, Start + 1s));
-}
-
-BOOST_AUTO_TEST_CASE(pauses_nearTheObjective_letTheLimitGrowSlowly)
-{
-    endpointsRun(9);
-    limit.paused(pauseOf(140ms, 40), steps, Start);
-    for (BootTime now = Start; now < Start + 1s; now += 10ms) {
-        limit.paused(pauseOf(115ms, 34), steps, now);
-    }
-    BOOST_TEST(!limit.hasRoom(36, Start + 1s));
-}
-
 // Symptom: callers were refused although the engines had places. Sequence: demand moved while few streams were in progress;
 // passes were long for a moment. Cause: lateness taken for load whatever the load.
 BOOST_AUTO_TEST_CASE(pause_tooLongWithoutLoad_setsNoLimit)
