group: the group's task ignores broken pipes itself; tests made as strict again as they were

Sequence: a coordinator ends in the same process while an agent writes to its link. Cause: ForwardTask and the HTTP server ignore broken pipes when they start, GroupTask left it to its program.

Leftovers of what was taken back are gone from the fixture.

--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "coordinator.h"
 #include "groupcodec.h"
+#include "http/socketaddress.h"
 #include "http/timer.h"
 #include "knownmaps.h"
 #include "mapcodec.h"
@@ -484,6 +485,8 @@
 Result<std::unique_ptr<GroupTask>>
 GroupTask::start(event_base *loop, GroupOptions options, EnginePort &engine, EngineDialer dialEngine, GroupStore &store, observe::Metrics &metrics)
 {
+    // A coordinator may end while this agent writes to it: the signal would end the whole process, where the link reports its end.
+    http::ignoreBrokenPipes();
     auto task = std::make_unique<GroupTaskImpl>(loop, std::move(options), engine, std::move(dialEngine), store, metrics);
     if (const auto listening = task->listen(); !listening) {
         return tl::unexpected(listening.error());
--- a/libs/group/tests/groupcodectest.cpp
+++ b/libs/group/tests/groupcodectest.cpp
@@ -3,6 +3,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <cstdint>
+
 namespace magnolia::group
 {
 
@@ -59,7 +62,10 @@
 BOOST_AUTO_TEST_CASE(counts_notPacked_areRefused)
 {
     BOOST_TEST(!decodeCounts("\xff\xff").has_value());
-    BOOST_TEST(decodeCounts(encodeCounts({1, 0, 7})).value().at(2) == 7U);
+    // Rounded to the nearest of four units for the mean count: half a unit off at most.
+    constexpr std::uint64_t HalfUnit = 70001 / (3 * 4) / 2;
+    const std::uint64_t read = decodeCounts(encodeCounts({1, 0, 70000})).value().at(2);
+    BOOST_TEST(std::max<std::uint64_t>(read, 70000) - std::min<std::uint64_t>(read, 70000) <= HalfUnit);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/group/tests/grouptasktest.cpp
+++ b/libs/group/tests/grouptasktest.cpp
@@ -1,7 +1,6 @@
 #include "group/grouptask.h"
 #include "http/eventhandles.h"
 #include "http/timer.h"
-#include "wire/link.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -218,8 +217,7 @@
             done(std::optional<std::uint64_t>());
             return;
         }
-        row.term += 10;
-        row.holder = holder;
+        row = {.term = row.term + 10, .holder = holder};
         done(std::optional(row.term));
     }
     void listMembers(std::function<void(Result<std::vector<MemberAddress>>)> done) override
--- a/libs/group/tests/mapcodectest.cpp
+++ b/libs/group/tests/mapcodectest.cpp
@@ -117,9 +117,9 @@
     const std::string told = encodeCounts(counts);
     BOOST_TEST(told.size() <= counts.size() / 2);
     const auto read = decodeCounts(told).value();
-    const std::uint64_t mean = total / counts.size();
+    const std::uint64_t halfUnit = total / counts.size() / 4 / 2;
     for (std::size_t index = 0; index < counts.size(); ++index) {
-        BOOST_TEST(std::max(read[index], counts[index]) - std::min(read[index], counts[index]) <= mean / 4);
+        BOOST_TEST(std::max(read[index], counts[index]) - std::min(read[index], counts[index]) <= halfUnit);
     }
 }
 
--- a/libs/group/tests/mapcouriertest.cpp
+++ b/libs/group/tests/mapcouriertest.cpp
@@ -1,6 +1,7 @@
 #include "mapcourier.h"
 #include "groupcodec.h"
 #include "knownmaps.h"
+#include "mapcodec.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -51,6 +52,7 @@
     courier.setBase(5, *first.map);
     const MapCourier::Form form = courier.formFor(second, 5);
     BOOST_TEST(form.base == 5U);
+    BOOST_TEST(form.map.size() < encodeMap(*second.map).size());
     BOOST_REQUIRE(agent.take(second, form));
     BOOST_TEST((*agent.known.find(6) == *second.map));
 }
@@ -59,6 +61,7 @@
 {
     courier.setBase(5, *first.map);
     BOOST_TEST(courier.formFor(second, 0).base == 0U); // It has just started.
+    BOOST_TEST(courier.formFor(second, 6).base == 0U); // It knows the next one only.
     BOOST_TEST(courier.formFor(second, 4).base == 0U); // It missed one.
     BOOST_TEST(agent.take(second, courier.formFor(second, 0)));
 }
