forward, routing: logs tie attempts at the same request together, and tell why a failed sending is not repeated

A sending that fails is logged also when it is not repeated, with the reason, how long it took and what else of this entry was in progress there.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -3,6 +3,7 @@
 #include "base/errorcode.h"
 #include "http/errorbody.h"
 #include "outgoingrequest.h"
+#include "routing/fingerprint.h"
 
 #include <spdlog/fmt/fmt.h>
 
@@ -157,6 +158,7 @@
         refuse(StatusUnavailable, RetryAfterStopping, "this entry is stopping");
         return;
     }
+    identify();
     pickService();
     core_.allowanceOf(service_).requestCame(BootClock::now());
     if (const auto resumed = numberOf(request_.head.headers.value(core_.options.protocol.lastEventId))) {
@@ -165,6 +167,15 @@
     takePlace();
 }
 
+void Forwarding::identify()
+{
+    fingerprint_ = routing::fingerprintOf({.method = request_.head.method,
+                                           .host = request_.head.headers.value("host"),
+                                           .target = request_.head.target,
+                                           .organisation = organisation_ == nullptr ? std::string_view() : std::string_view(organisation_->name),
+                                           .body = request_.body});
+}
+
 void Forwarding::pickService()
 {
     const double point = std::uniform_real_distribution<double>(0, 1)(core_.random);
@@ -401,19 +412,49 @@
     return route_->kind == RouteKind::Idempotent || (route_->kind == RouteKind::Stream && route_->isResumable);
 }
 
-/** Sends it elsewhere if kind, bound and budget allow. @return false if not. */
-bool Forwarding::retry(std::string_view cause)
+/** @return why it may not be sent elsewhere; empty if it may, which is then counted against the retry budget. */
+std::string_view Forwarding::retryObstacle()
 {
-    const bool isAllowed = !mayHaveRun_ || mayRepeat();
-    if (!isAllowed || !sendings_.mayTryAnother(route_->maxEndpoints) || left().count() <= 0) {
-        return false;
+    if (mayHaveRun_ && !mayRepeat()) {
+        return "may not be repeated";
+    }
+    if (!sendings_.mayTryAnother(route_->maxEndpoints)) {
+        return "as many endpoints as allowed were tried";
+    }
+    if (left().count() <= 0) {
+        return "time is up";
     }
     if (!core_.allowanceOf(service_).tryRetry(BootClock::now())) {
         core_.metrics.retriesDenied.add();
+        return "the retry budget is used up";
+    }
+    return {};
+}
+
+void Forwarding::logSending(std::string_view end, int status, std::string_view atFault, std::string_view decision)
+{
+    core_.log.sendingEnded({.requestId = requestId_,
+                            .fingerprint = fingerprint_,
+                            .endpoint = endpoint_->record.id,
+                            .end = end,
+                            .status = status,
+                            .atFault = atFault,
+                            .decision = decision,
+                            .took = BootClock::now() - sentAt_,
+                            .alongside = endpoint_->inFlight});
+}
+
+/** Sends it elsewhere if kind, bound and budget allow. @return false if not. */
+bool Forwarding::retry(std::string_view cause)
+{
+    const std::string_view obstacle = retryObstacle();
+    logSending(cause,
+               incoming_.head.status,
+               incoming_.head.headers.value(core_.options.protocol.endpointAtFault),
+               obstacle.empty() ? std::string_view("retry") : obstacle);
+    if (!obstacle.empty()) {
         return false;
     }
-    core_.log.sendingEnded(
-        requestId_, sendings_.lastTried(), cause, incoming_.head.status, incoming_.head.headers.value(core_.options.protocol.endpointAtFault), "retry");
     core_.metrics.retries.add();
     hasRetried_ = true;
     if (isStreaming_) {
@@ -538,7 +579,7 @@
         endpoint_->avoidUntil = std::max(endpoint_->avoidUntil, BootClock::now() + ConnectTimeout);
         const bool mayDialAgain = sendings_.count() <= core_.endpoints.ofService(service_).size();
         if (mayDialAgain && left().count() > 0) {
-            core_.log.sendingEnded(requestId_, endpoint_->record.id, toString(end), 0, {}, "dial another");
+            logSending(toString(end), 0, {}, "dial another");
             sendNext();
             return;
         }
@@ -570,7 +611,7 @@
             refusedAt_ = BootClock::now();
             sendings_.takeBack(); // It may be tried again, and does not count twice against the route's bound.
             if (waitForGroup(*endpoint_)) {
-                core_.log.sendingEnded(requestId_, endpoint_->record.id, "not-run", status, atFault, "wait for its group");
+                logSending("not-run", status, atFault, "wait for its group");
                 return;
             }
             refuse(StatusUnavailable, RetryAfterGroup, "its group does not run");
@@ -698,10 +739,10 @@
     if (isOver && couldMove && core_.allowanceOf(service_).tryRetry(now)) {
         core_.connections.closeAll(endpoint_->record.id);
         mayHaveRun_ = true;
-        core_.log.sendingEnded(requestId_, endpoint_->record.id, "silent", 0, {}, "retry");
         core_.metrics.retries.add();
         hasRetried_ = true;
         endCall(EndpointSign::Failed);
+        logSending("silent", 0, {}, "retry");
         sendNext();
         return;
     }
@@ -826,7 +867,8 @@
                      .waited = waited_,
                      .longestPause = longestPause_,
                      .objective = route_ == nullptr ? Duration(0) : route_->latencyObjective,
-                     .pauseObjective = route_ == nullptr ? Duration(0) : route_->pauseObjective});
+                     .pauseObjective = route_ == nullptr ? Duration(0) : route_->pauseObjective,
+                     .fingerprint = fingerprint_});
 }
 
 } // namespace magnolia::forward
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -66,6 +66,7 @@
     routing::EndpointPointer nextEndpoint() const;
     bool findRoute();
     bool findOrganisation();
+    void identify();
     void setDeadline();
 
     // Sendings.
@@ -75,6 +76,8 @@
     std::string messageFor(const routing::Endpoint &endpoint) const;
     bool mayRepeat() const;
     bool retry(std::string_view cause);
+    std::string_view retryObstacle();
+    void logSending(std::string_view end, int status, std::string_view atFault, std::string_view decision);
 
     // Answers.
     void headCame(http::MessageHead &head);
@@ -108,6 +111,7 @@
     routing::RouteTable::Pointer routes_; ///< Kept, since route_ and organisation_ point into it.
     const routing::Route *route_ = nullptr;
     const routing::Organisation *organisation_ = nullptr;
+    std::string fingerprint_; ///< Empty until route and organisation are known.
     std::string service_;
     PlaceQueue *places_ = nullptr; ///< Of the service; set once it is known.
     const routing::StepModel *steps_ = nullptr; ///< Of the service's engines; null if it has none. Lives in routes_.
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -29,9 +29,10 @@
     if (!mayWrite()) {
         return;
     }
-    log()->info("Ended id={} outcome={} status={} cause={} route={} service={} organisation={} endpoint={} sendings={} took_ms={} first_ms={} events={} "
+    log()->info("Ended id={} fingerprint={} outcome={} status={} cause={} route={} service={} organisation={} endpoint={} sendings={} took_ms={} first_ms={} events={} "
                 "waited_ms={} longest_pause_ms={} objective_ms={} pause_objective_ms={} routes_version={} proof_age_ms={}",
                 record.requestId,
+                record.fingerprint,
                 record.outcome,
                 record.status,
                 record.cause,
@@ -51,17 +52,21 @@
                 milliseconds(record.proofAge));
 }
 
-void RequestLog::sendingEnded(std::string_view requestId,
-                              std::string_view endpoint,
-                              std::string_view end,
-                              int status,
-                              std::string_view atFault,
-                              std::string_view decision)
+void RequestLog::sendingEnded(const SendingRecord &record)
 {
     if (!mayWrite()) {
         return;
     }
-    log()->info("Sending failed id={} endpoint={} end={} status={} at_fault={} decision={}", requestId, endpoint, end, status, atFault, decision);
+    log()->info("Sending failed id={} fingerprint={} endpoint={} end={} status={} at_fault={} decision={} took_ms={} alongside={}",
+                record.requestId,
+                record.fingerprint,
+                record.endpoint,
+                record.end,
+                record.status,
+                record.atFault,
+                record.decision,
+                milliseconds(record.took),
+                record.alongside);
 }
 
 void RequestLog::limited(std::string_view service, BootClock::duration pause, std::size_t inProgress, double limit)
--- a/libs/forward/src/requestlog.h
+++ b/libs/forward/src/requestlog.h
@@ -31,6 +31,20 @@
     BootClock::duration longestPause{}; ///< Between two events of a stream.
     Duration objective{}; ///< For the first byte; 0: none.
     Duration pauseObjective{}; ///< For pauses; 0: none.
+    std::string_view fingerprint{}; ///< The same for each attempt at the same request.
+};
+
+/** One sending that did not end with an answer passed on. */
+struct SendingRecord {
+    std::string_view requestId{};
+    std::string_view fingerprint{};
+    std::string_view endpoint{};
+    std::string_view end{}; ///< One of few words.
+    int status = 0; ///< Of the endpoint's answer; 0: none.
+    std::string_view atFault{};
+    std::string_view decision{}; ///< What is done with the request.
+    BootClock::duration took{}; ///< From its sending to its end.
+    std::uint32_t alongside = 0; ///< Other requests of this instance in progress at that endpoint.
 };
 
 /**
@@ -44,9 +58,7 @@
 public:
     void write(const RequestRecord &record);
 
-    /** One sending that did not end with an answer passed on. */
-    void
-    sendingEnded(std::string_view requestId, std::string_view endpoint, std::string_view end, int status, std::string_view atFault, std::string_view decision);
+    void sendingEnded(const SendingRecord &record);
 
     /** Fewer streams of a service are let in from now on. */
     void limited(std::string_view service, BootClock::duration pause, std::size_t inProgress, double limit);
