--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -29,27 +29,28 @@
     if (!mayWrite()) {
         return;
     }
-    log()->info("Ended id={} fingerprint={} outcome={} status={} cause={} route={} service={} organisation={} endpoint={} sendings={} took_ms={} first_ms={} events={} "
-                "waited_ms={} longest_pause_ms={} objective_ms={} pause_objective_ms={} routes_version={} proof_age_ms={}",
-                record.requestId,
-                record.fingerprint,
-                record.outcome,
-                record.status,
-                record.cause,
-                record.route,
-                record.service,
-                record.organisation,
-                record.endpoint,
-                record.sendings,
-                milliseconds(record.took),
-                milliseconds(record.firstByte),
-                record.events,
-                milliseconds(record.waited),
-                milliseconds(record.longestPause),
-                record.objective.count(),
-                record.pauseObjective.count(),
-                record.routesVersion,
-                milliseconds(record.proofAge));
+    log()->info(
+        "Ended id={} fingerprint={} outcome={} status={} cause={} route={} service={} organisation={} endpoint={} sendings={} took_ms={} first_ms={} events={} "
+        "waited_ms={} longest_pause_ms={} objective_ms={} pause_objective_ms={} routes_version={} proof_age_ms={}",
+        record.requestId,
+        record.fingerprint,
+        record.outcome,
+        record.status,
+        record.cause,
+        record.route,
+        record.service,
+        record.organisation,
+        record.endpoint,
+        record.sendings,
+        milliseconds(record.took),
+        milliseconds(record.firstByte),
+        record.events,
+        milliseconds(record.waited),
+        milliseconds(record.longestPause),
+        record.objective.count(),
+        record.pauseObjective.count(),
+        record.routesVersion,
+        milliseconds(record.proofAge));
 }
 
 void RequestLog::sendingEnded(const SendingRecord &record)
--- a/libs/routing/src/fingerprint.cpp
+++ b/libs/routing/src/fingerprint.cpp
@@ -22,8 +22,7 @@
 std::string fingerprintOf(const RequestIdentity &identity)
 {
     // Lengths first, so that no two different lists of parts give the same bytes.
-    const std::string lengths =
-        fmt::format("{} {} {} {} ", identity.method.size(), identity.host.size(), identity.target.size(), identity.organisation.size());
+    const std::string lengths = fmt::format("{} {} {} {} ", identity.method.size(), identity.host.size(), identity.target.size(), identity.organisation.size());
     std::string bytes;
     for (const std::string_view part : {std::string_view(lengths), identity.method, identity.host, identity.target, identity.organisation, identity.body}) {
         bytes.append(part);
