forward, routing, store, platform: a request that ends the endpoints that run it is quarantined at all entries

What callers saw: a stream request ended an endpoint 89 ms into its run and was sent to the next one 1 ms later; it came again at other entries, and seven endpoints ended one after the other. While a rank is missing its group does not run: of 207 requests in four seconds 2 were in time.

Cause: nothing outlives one attempt of the caller. retry() asks for the route's bound, the retry budget and the time left, and the next attempt, here or at another entry, begins anew. Ruled out: one attempt that goes to too many endpoints (the record shows two sendings, and it ends).

Why this works: a sending whose connection breaks waits until a new connection tells whether the endpoint ended (a millisecond or two) and reports it under the request's fingerprint. Three reports quarantine the request for ten minutes, twice as long after each further one; it is refused with 429 and the time left, or 502 if this attempt may have run. Ends under way at the same time count once, one whole answer clears a request, and one that was answered in the last minute is not reported: neighbours and common questions are served on.

--- a/libs/forward/include/forward/forwardtask.h
+++ b/libs/forward/include/forward/forwardtask.h
@@ -3,10 +3,12 @@
 
 #include "base/clock.h"
 #include "base/failure.h"
+#include "forward/crashsharing.h"
 #include "forward/protocol.h"
 #include "observe/metrics.h"
 #include "observe/trace.h"
 #include "routing/endpointtable.h"
+#include "routing/quarantine.h"
 #include "routing/retryallowance.h"
 #include "routing/routetable.h"
 #include "routing/routingproof.h"
@@ -30,6 +32,7 @@
     Protocol protocol{};
     routing::RoutingProof::Options proof{};
     routing::RetryAllowance::Options retries{};
+    routing::Quarantine::Options quarantine{};
     Duration grace{8000}; ///< From the order to stop until the process is killed.
     observe::Tracer *tracer = nullptr; ///< Outlives the task; null: no spans.
 };
@@ -66,6 +69,11 @@
     virtual void putEndpoint(const routing::EndpointRecord &record) = 0;
     virtual void removeEndpoint(std::string_view id) = 0;
 
+    /** @param sharing told of what this entry sees; others' words come by the two calls below. */
+    virtual void shareCrashes(CrashSharing sharing) = 0;
+    virtual void putCrashReport(const routing::CrashReport &report) = 0;
+    virtual void withdrawCrashReport(std::string_view fingerprint, std::uint32_t ordinal) = 0;
+
     /** Stops as planned: not ready at once, new work as long as the balancer sends it, what is in progress to its end. */
     virtual void drain() = 0;
 
--- a/libs/forward/src/forwardcore.h
+++ b/libs/forward/src/forwardcore.h
@@ -2,6 +2,7 @@
 #define MAGNOLIA_FORWARD_FORWARDCORE_H
 
 #include "base/random.h"
+#include "crashwatch.h"
 #include "endpointconnections.h"
 #include "forward/forwardtask.h"
 #include "forwardmetrics.h"
@@ -31,6 +32,7 @@
         , connections(eventLoop)
         , random(seededRandom())
         , metrics(metricsRegistry)
+        , crashes(eventLoop, connections, options.quarantine, metrics, [this] { tellNewsSoon(); })
         , newsTimer(eventLoop, [this] { tellNews(); })
     {
     }
@@ -112,6 +114,7 @@
     EndpointConnections connections;
     Random random;
     ForwardMetrics metrics;
+    CrashWatch crashes;
     RequestLog log;
     bool isStopping = false;
     BootTime takesUntil; ///< While stopping: any request is taken before that.
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -28,6 +28,7 @@
 constexpr int StatusNotFound = 404;
 constexpr int StatusMisdirected = 421;
 constexpr int StatusBadGateway = 502;
+constexpr int StatusTooManyRequests = 429;
 constexpr int StatusUnavailable = 503;
 constexpr int StatusTimeout = 504;
 
@@ -159,6 +160,9 @@
         return;
     }
     identify();
+    if (endsAsQuarantined()) {
+        return;
+    }
     pickService();
     core_.allowanceOf(service_).requestCame(BootClock::now());
     if (const auto resumed = numberOf(request_.head.headers.value(core_.options.protocol.lastEventId))) {
@@ -261,7 +265,7 @@
 
 void Forwarding::endWaiting()
 {
-    if (!stopsWaitingFor(Waiting::ForNews)) {
+    if (!stopsWaitingFor(Waiting::ForNews) || endsAsQuarantined()) {
         return;
     }
     if (isResending_ && !isGroupBack() && BootClock::now() < waitingEnds_) {
@@ -322,6 +326,9 @@
 
 void Forwarding::sendNext()
 {
+    if (endsAsQuarantined()) {
+        return;
+    }
     if (left().count() <= 0) {
         giveUp();
         return;
@@ -362,6 +369,7 @@
 {
     core_.endpoints.sendingTo(*endpoint, BootClock::now());
     sendings_.began(endpoint->record.id);
+    ordinal_ = core_.crashes.nextOrdinal(fingerprint_);
     endpoint_ = endpoint;
     spans_.beginSending(endpoint->record.id);
     sentAt_ = BootClock::now();
@@ -460,7 +468,41 @@
     if (isStreaming_) {
         core_.metrics.resumed.add();
     }
-    sendNext();
+    if (waiting_ == Waiting::ForFate) {
+        startTimer();
+    } else {
+        sendNext();
+    }
+    return true;
+}
+
+/** The connection to the endpoint broke under the request: nothing is sent elsewhere before it is known whether the endpoint ended. */
+void Forwarding::noteBroken()
+{
+    waiting_ = Waiting::ForFate;
+    waitingEnds_ = BootClock::now() + ConnectTimeout;
+    core_.crashes.connectionBroke(endpoint_, {.fingerprint = fingerprint_, .ordinal = ordinal_}, [waiting = weak_from_this()] {
+        const auto self = waiting.lock();
+        if (self != nullptr && self->stopsWaitingFor(Waiting::ForFate)) {
+            self->sendNext();
+        }
+    });
+}
+
+/** @return true if endpoints ended under its like: it is sent to no other. */
+bool Forwarding::endsAsQuarantined()
+{
+    const auto left = core_.crashes.quarantineLeft(fingerprint_);
+    if (!left) {
+        return false;
+    }
+    constexpr std::string_view Cause = "endpoints ended under this request before";
+    core_.metrics.quarantined.add();
+    if (mayHaveRun_ || isStreaming_) {
+        conclude(Cause, StatusBadGateway);
+    } else {
+        refuse(StatusTooManyRequests, *left, Cause);
+    }
     return true;
 }
 
@@ -572,6 +614,9 @@
     }
     const bool isUnsent = end == CallEnd::NotSent;
     mayHaveRun_ = mayHaveRun_ || !isUnsent;
+    if (end == CallEnd::Lost) {
+        noteBroken();
+    }
     endCall(isUnsent ? EndpointSign::Unreachable : EndpointSign::Failed);
     if (isUnsent) {
         // It reached nobody, so it counts neither against the route's bound nor, for the endpoint, as an arrival.
@@ -624,6 +669,7 @@
         return;
     }
     mayHaveRun_ = true;
+    core_.crashes.answered(fingerprint_);
     const bool isProved = incoming_.head.headers.find(protocol.answerProof) != nullptr;
     if (isSuccess(status) && !isProved) {
         callEnded(CallEnd::Spoilt);
@@ -657,11 +703,15 @@
     const bool isWhole = end == CallEnd::Whole && cutter_.isAtBoundary() && isStreaming_;
     endCall(isWhole ? EndpointSign::Answered : EndpointSign::Failed);
     if (isWhole) {
+        core_.crashes.answered(fingerprint_);
         sink_->endStream();
         core_.metrics.answers.add();
         finish("answered", incoming_.head.status, "");
         return;
     }
+    if (end == CallEnd::Lost) {
+        noteBroken();
+    }
     if (retry(toString(end))) {
         return;
     }
@@ -726,6 +776,11 @@
         endWaiting();
         return;
     }
+    if (waiting_ == Waiting::ForFate && now >= waitingEnds_) {
+        waiting_ = Waiting::ForNothing;
+        sendNext();
+        return;
+    }
     if (call_ == nullptr) {
         startTimer(); // Timers may fire a little early.
         return;
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -46,6 +46,7 @@
         ForNothing,
         ForNews, ///< Of routes, endpoints or its group.
         ForPlace, ///< Among the streams in progress.
+        ForFate, ///< Of the endpoint to which its connection broke.
     };
 
     struct HeldAnswer {
@@ -76,6 +77,8 @@
     std::string messageFor(const routing::Endpoint &endpoint) const;
     bool mayRepeat() const;
     bool retry(std::string_view cause);
+    void noteBroken();
+    bool endsAsQuarantined();
     std::string_view retryObstacle();
     void logSending(std::string_view end, int status, std::string_view atFault, std::string_view decision);
 
@@ -111,6 +114,7 @@
     routing::RouteTable::Pointer routes_; ///< Kept, since route_ and organisation_ point into it.
     const routing::Route *route_ = nullptr;
     const routing::Organisation *organisation_ = nullptr;
+    std::uint32_t ordinal_ = 1; ///< Of the sending in progress, should its endpoint end.
     std::string fingerprint_; ///< Empty until route and organisation are known.
     std::string service_;
     PlaceQueue *places_ = nullptr; ///< Of the service; set once it is known.
--- a/libs/forward/src/forwardmetrics.h
+++ b/libs/forward/src/forwardmetrics.h
@@ -21,6 +21,9 @@
         , failures(metrics.counter("magnolia_forward_failures_total", "Requests that ended without a whole answer and may have run."))
         , hangups(metrics.counter("magnolia_forward_hangups_total", "Requests whose callers left."))
         , resumed(metrics.counter("magnolia_forward_streams_resumed_total", "Streams that went on at another endpoint."))
+        , endsUnderRequests(metrics.counter("magnolia_forward_ends_under_requests_total", "Requests under which an endpoint ended, each time."))
+        , quarantined(metrics.counter("magnolia_forward_quarantined_total", "Requests refused since endpoints ended under their like."))
+        , reportedRequests(metrics.gauge("magnolia_forward_reported_requests", "Requests that endpoints were reported to have ended under."))
         , callers(metrics.gauge("magnolia_forward_caller_connections", "Open connections of callers."))
         , inProgress(metrics.gauge("magnolia_forward_in_progress", "Requests in progress."))
         , routesVersion(metrics.gauge("magnolia_forward_routes_version", "Version of the routes in force."))
@@ -39,6 +42,9 @@
     observe::Counter &failures;
     observe::Counter &hangups;
     observe::Counter &resumed;
+    observe::Counter &endsUnderRequests;
+    observe::Counter &quarantined;
+    observe::Gauge &reportedRequests;
     observe::Gauge &callers;
     observe::Gauge &inProgress;
     observe::Gauge &routesVersion;
--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -71,6 +71,18 @@
     }
     void putEndpoint(const routing::EndpointRecord &record) override;
     void removeEndpoint(std::string_view id) override;
+    void shareCrashes(CrashSharing sharing) override
+    {
+        core_.crashes.share(std::move(sharing));
+    }
+    void putCrashReport(const routing::CrashReport &report) override
+    {
+        core_.crashes.takeReport(report);
+    }
+    void withdrawCrashReport(std::string_view fingerprint, std::uint32_t ordinal) override
+    {
+        core_.crashes.takeWithdrawal(fingerprint, ordinal);
+    }
     void drain() override;
     std::string callersAddress() const override
     {
--- a/libs/forward/tests/notingtask.h
+++ b/libs/forward/tests/notingtask.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace magnolia::forward
@@ -32,6 +33,19 @@
     {
         told.push_back("gone " + std::string(id));
     }
+    void shareCrashes(CrashSharing sharing) override
+    {
+        crashSharing = std::move(sharing);
+    }
+    void putCrashReport(const routing::CrashReport &report) override
+    {
+        told.push_back("crash " + report.fingerprint + " " + std::to_string(report.ordinal));
+        crashReports.push_back(report);
+    }
+    void withdrawCrashReport(std::string_view fingerprint, std::uint32_t ordinal) override
+    {
+        told.push_back("no crash " + std::string(fingerprint) + " " + std::to_string(ordinal));
+    }
     void drain() override {}
     std::string callersAddress() const override
     {
@@ -49,6 +63,8 @@
 
     std::vector<std::string> told;
     int confirmations = 0;
+    CrashSharing crashSharing;
+    std::vector<routing::CrashReport> crashReports;
 };
 
 } // namespace magnolia::forward
--- a/libs/http/include/http/connection.h
+++ b/libs/http/include/http/connection.h
@@ -46,8 +46,11 @@
     /** Takes over a connected socket. */
     static std::shared_ptr<Connection> adopt(event_base *loop, int fd);
 
-    /** @return null if no socket could be had. What is sent before it is connected is queued. */
-    static std::shared_ptr<Connection> dial(event_base *loop, const SocketAddress &address);
+    /**
+     * @param isRefused set if the far end refused it at once, as happens on one host.
+     * @return null if it was, or no socket could be had. What is sent before it is connected is queued.
+     */
+    static std::shared_ptr<Connection> dial(event_base *loop, const SocketAddress &address, bool *isRefused = nullptr);
 
     ~Connection();
     Connection(const Connection &) = delete;
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -41,7 +41,7 @@
     return std::shared_ptr<Connection>(new Connection(loop, fd, true));
 }
 
-std::shared_ptr<Connection> Connection::dial(event_base *loop, const SocketAddress &address)
+std::shared_ptr<Connection> Connection::dial(event_base *loop, const SocketAddress &address, bool *isRefused)
 {
     const int fd = openSocket(address.storage.ss_family);
     if (fd < 0) {
@@ -49,6 +49,9 @@
     }
     const int outcome = ::connect(fd, address.get(), address.length);
     if (outcome != 0 && errno != EINPROGRESS) {
+        if (isRefused != nullptr) {
+            *isRefused = errno == ECONNREFUSED;
+        }
         ::close(fd);
         return nullptr;
     }
--- a/libs/http/tests/rawpeer.h
+++ b/libs/http/tests/rawpeer.h
@@ -55,8 +55,13 @@
     RawPeer(event_base *loop, Script script) : loop_(loop), script_(std::move(script))
     {
         const SocketAddress any = SocketAddress::parse("127.0.0.1:0").value();
-        listener_.reset(evconnlistener_new_bind(
-            loop, &RawPeer::onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, SOMAXCONN, any.get(), static_cast<int>(any.length)));
+        listener_.reset(evconnlistener_new_bind(loop,
+                                                &RawPeer::onAccept,
+                                                this,
+                                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+                                                SOMAXCONN,
+                                                any.get(),
+                                                static_cast<int>(any.length)));
     }
 
     std::string address() const
@@ -79,6 +84,10 @@
     {
         return streams_.size();
     }
+    void stopListening()
+    {
+        listener_.reset();
+    }
     void closeAll()
     {
         streams_.clear();
--- /dev/null
+++ b/libs/routing/src/quarantine.cpp
@@ -0,0 +1,115 @@
+#include "routing/quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnolia::routing
+{
+
+namespace
+{
+
+constexpr std::size_t MostDoublings = 20;
+
+} // namespace
+
+Quarantine::Quarantine(const Options &options) : options_(options) {}
+
+std::uint32_t Quarantine::nextOrdinal(std::string_view fingerprint) const
+{
+    const auto found = reported_.find(fingerprint);
+    return found == reported_.end() ? 1 : *found->second.ordinals.rbegin() + 1;
+}
+
+bool Quarantine::report(const CrashReport &report, BootTime now)
+{
+    if (wasAnsweredLately(report.fingerprint)) {
+        return false;
+    }
+    const auto found = reported_.find(report.fingerprint);
+    if (found != reported_.end() && now >= keptUntil(found->second)) {
+        reported_.erase(found);
+    }
+    Reports alone{.ordinals = {report.ordinal}, .lastEnd = report.endedAt};
+    if (now >= keptUntil(alone) && !reported_.contains(report.fingerprint)) {
+        return false;
+    }
+    makeRoom(now);
+    const auto [entry, isNew] = reported_.try_emplace(report.fingerprint, std::move(alone));
+    Reports &reports = entry->second;
+    reports.lastEnd = std::max(reports.lastEnd, report.endedAt);
+    return reports.ordinals.insert(report.ordinal).second || isNew;
+}
+
+void Quarantine::withdraw(std::string_view fingerprint, std::uint32_t ordinal)
+{
+    const auto found = reported_.find(fingerprint);
+    if (found == reported_.end()) {
+        return;
+    }
+    found->second.ordinals.erase(ordinal);
+    if (found->second.ordinals.empty()) {
+        reported_.erase(found);
+    }
+}
+
+std::vector<std::uint32_t> Quarantine::answered(std::string_view fingerprint, BootTime now)
+{
+    if (now - generationBegan_ >= options_.answerTime || answered_.size() >= options_.mostAnswered) {
+        answeredBefore_ = std::exchange(answered_, {});
+        generationBegan_ = now;
+    }
+    answered_.try_emplace(std::string(fingerprint), true);
+    const auto found = reported_.find(fingerprint);
+    if (found == reported_.end()) {
+        return {};
+    }
+    std::vector<std::uint32_t> cleared(found->second.ordinals.begin(), found->second.ordinals.end());
+    reported_.erase(found);
+    return cleared;
+}
+
+bool Quarantine::wasAnsweredLately(std::string_view fingerprint) const
+{
+    return answered_.contains(fingerprint) || answeredBefore_.contains(fingerprint);
+}
+
+std::optional<Duration> Quarantine::timeLeft(std::string_view fingerprint, BootTime now) const
+{
+    const auto found = reported_.find(fingerprint);
+    if (found == reported_.end() || found->second.ordinals.size() < options_.limit) {
+        return std::nullopt;
+    }
+    const BootClock::duration left = found->second.lastEnd + timeOf(found->second) - now;
+    return left.count() > 0 ? std::optional(std::chrono::ceil<Duration>(left)) : std::nullopt;
+}
+
+/** @return how long it is quarantined, or would be if it had as many reports as the limit. */
+BootClock::duration Quarantine::timeOf(const Reports &reports) const
+{
+    const std::size_t further = reports.ordinals.size() - std::min(reports.ordinals.size(), options_.limit);
+    const Duration doubled = options_.time * (1LL << std::min(further, MostDoublings));
+    return std::min(doubled, options_.longestTime);
+}
+
+/** A request whose quarantine is over is remembered for as long again: its next end quarantines it anew, for longer. */
+BootTime Quarantine::keptUntil(const Reports &reports) const
+{
+    const bool wasQuarantined = reports.ordinals.size() >= options_.limit;
+    return reports.lastEnd + timeOf(reports) * (wasQuarantined ? 2 : 1);
+}
+
+void Quarantine::makeRoom(BootTime now)
+{
+    if (reported_.size() < options_.mostReported) {
+        return;
+    }
+    std::erase_if(reported_, [this, now](const auto &entry) { return now >= keptUntil(entry.second); });
+    if (reported_.size() < options_.mostReported) {
+        return;
+    }
+    const auto earlier = [](const auto &one, const auto &other) { return one.second.lastEnd < other.second.lastEnd; };
+    reported_.erase(std::min_element(reported_.begin(), reported_.end(), earlier));
+}
+
+} // namespace magnolia::routing
--- /dev/null
+++ b/libs/routing/tests/quarantinetest.cpp
@@ -0,0 +1,142 @@
+#include "routing/quarantine.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace magnolia::routing
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+struct QuarantineFixture {
+    /** The request is sent and its endpoint ends, so much later than the last event. */
+    bool sendAndEnd(const std::string &fingerprint, Duration later = 1s)
+    {
+        now += later;
+        return quarantine.report({.fingerprint = fingerprint, .ordinal = quarantine.nextOrdinal(fingerprint), .endedAt = now}, now);
+    }
+    bool isQuarantined(const std::string &fingerprint) const
+    {
+        return quarantine.timeLeft(fingerprint, now).has_value();
+    }
+
+    BootTime now{1h};
+    Quarantine quarantine{{.limit = 3, .time = 10min, .answerTime = 1min, .mostAnswered = 10, .mostReported = 5}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(QuarantineTest, QuarantineFixture)
+
+BOOST_AUTO_TEST_CASE(request_endedAsManyEndpointsAsTheLimit_isQuarantined)
+{
+    BOOST_TEST(sendAndEnd("a"));
+    BOOST_TEST(sendAndEnd("a"));
+    BOOST_TEST(!isQuarantined("a"));
+    BOOST_TEST(sendAndEnd("a"));
+    BOOST_TEST(isQuarantined("a"));
+    BOOST_TEST(!isQuarantined("b"));
+    BOOST_TEST((quarantine.timeLeft("a", now) == Duration(10min)));
+}
+
+// Guards against a common request being quarantined since several endpoints that ran it ended at one moment, e.g. a rack's.
+BOOST_AUTO_TEST_CASE(request_manyEndpointsEndUnderItAtOnce_countOnce)
+{
+    const std::uint32_t ordinal = quarantine.nextOrdinal("a");
+    for (int endpoint = 0; endpoint < 10; ++endpoint) {
+        (void)quarantine.report({.fingerprint = "a", .ordinal = ordinal, .endedAt = now}, now);
+    }
+    BOOST_TEST(!isQuarantined("a"));
+    BOOST_TEST(quarantine.nextOrdinal("a") == 2U);
+}
+
+// Guards against requests that ran beside the cause being quarantined with it.
+BOOST_AUTO_TEST_CASE(request_answeredBetweenEnds_isClearedOfThem)
+{
+    (void)sendAndEnd("a");
+    (void)sendAndEnd("a");
+    const std::vector<std::uint32_t> cleared = quarantine.answered("a", now);
+    BOOST_TEST(cleared == (std::vector<std::uint32_t>{1, 2}), boost::test_tools::per_element());
+    BOOST_TEST(quarantine.size() == 0U);
+    BOOST_TEST(quarantine.nextOrdinal("a") == 1U);
+}
+
+// Guards against a common request being quarantined while endpoints end for other reasons.
+BOOST_AUTO_TEST_CASE(request_answeredLately_isNotReported)
+{
+    (void)quarantine.answered("a", now);
+    for (int end = 0; end < 5; ++end) {
+        BOOST_TEST(!sendAndEnd("a"));
+    }
+    BOOST_TEST(!isQuarantined("a"));
+}
+
+// Guards against a request staying above suspicion for ever, e.g. one that ends endpoints since their last release.
+BOOST_AUTO_TEST_CASE(request_answeredLongAgo_isReported)
+{
+    (void)quarantine.answered("a", now);
+    for (int minute = 0; minute < 3; ++minute) {
+        now += 1min;
+        (void)quarantine.answered("b", now);
+    }
+    BOOST_TEST(sendAndEnd("a"));
+}
+
+BOOST_AUTO_TEST_CASE(quarantine_over_mayBeSentAndNextEndQuarantinesForLonger)
+{
+    for (int end = 0; end < 3; ++end) {
+        (void)sendAndEnd("a");
+    }
+    now += 10min;
+    BOOST_TEST(!isQuarantined("a"));
+    BOOST_TEST(sendAndEnd("a"));
+    BOOST_TEST((quarantine.timeLeft("a", now) == Duration(20min)));
+}
+
+BOOST_AUTO_TEST_CASE(reports_belowTheLimitAndOld_areForgotten)
+{
+    (void)sendAndEnd("a");
+    (void)sendAndEnd("a");
+    (void)sendAndEnd("a", 10min);
+    BOOST_TEST(!isQuarantined("a"));
+}
+
+BOOST_AUTO_TEST_CASE(reports_ofPeersOldOrKnown_changeNothing)
+{
+    BOOST_TEST(!quarantine.report({.fingerprint = "a", .ordinal = 1, .endedAt = now - 10min}, now));
+    BOOST_TEST(quarantine.report({.fingerprint = "a", .ordinal = 1, .endedAt = now}, now));
+    BOOST_TEST(!quarantine.report({.fingerprint = "a", .ordinal = 1, .endedAt = now}, now));
+}
+
+BOOST_AUTO_TEST_CASE(report_withdrawnByPeer_countsNoMore)
+{
+    for (int end = 0; end < 3; ++end) {
+        (void)sendAndEnd("a");
+    }
+    quarantine.withdraw("a", 2);
+    BOOST_TEST(!isQuarantined("a"));
+    quarantine.withdraw("a", 1);
+    quarantine.withdraw("a", 3);
+    quarantine.withdraw("unknown", 1);
+    BOOST_TEST(quarantine.size() == 0U);
+}
+
+// Guards against a caller who makes ever new requests that end endpoints filling the memory.
+BOOST_AUTO_TEST_CASE(reports_ofMoreRequestsThanRemembered_oldestMakesRoom)
+{
+    for (int request = 0; request < 20; ++request) {
+        (void)sendAndEnd("request " + std::to_string(request));
+        (void)quarantine.answered("answered " + std::to_string(request), now);
+    }
+    BOOST_TEST(quarantine.size() == 5U);
+    BOOST_TEST(quarantine.nextOrdinal("request 19") == 2U);
+    BOOST_TEST(quarantine.nextOrdinal("request 0") == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace magnolia::routing
--- a/libs/settings/include/settings/sections.h
+++ b/libs/settings/include/settings/sections.h
@@ -120,6 +120,12 @@
     Duration window{10000};
 };
 
+/** [quarantine]: of requests under which endpoints end. */
+struct QuarantineSettings {
+    std::size_t limit = 3; ///< Endpoints that have to end under a request, one after the other.
+    Duration time{600000}; ///< For which it is sent to none then; twice as long after each further one.
+};
+
 /** [metrics]: where they are served. */
 struct MetricsSettings {
     std::string address; ///< "IP:PORT"; empty: nowhere.
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -49,6 +49,7 @@
     EndpointsSettings endpoints;
     KeysSettings keys;
     RetriesSettings retries;
+    QuarantineSettings quarantine;
     MetricsSettings metrics;
     GraceSettings grace;
     observe::LogOptions log;
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -169,6 +169,14 @@
     out.window = std::chrono::round<Duration>(std::chrono::duration<double>(windowSeconds));
 }
 
+void readSection(TableReader &reader, QuarantineSettings &out)
+{
+    reader.readSize("limit", out.limit, {.least = 1, .most = 100});
+    double seconds = std::chrono::duration<double>(out.time).count();
+    reader.readNumber("time_s", seconds, {.least = 1, .most = 86400});
+    out.time = std::chrono::round<Duration>(std::chrono::duration<double>(seconds));
+}
+
 void readSection(TableReader &reader, MetricsSettings &out)
 {
     reader.readAddress("address", out.address, AddressUse::Listen, Presence::Optional);
@@ -256,6 +264,7 @@
     file.section("endpoints", out.endpoints);
     file.section("keys", out.keys);
     file.section("retries", out.retries);
+    file.section("quarantine", out.quarantine);
     file.section("metrics", out.metrics);
     file.section("grace", out.grace);
     file.section("log", out.log);
--- a/libs/settings/tests/settingstest.cpp
+++ b/libs/settings/tests/settingstest.cpp
@@ -139,6 +139,8 @@
     BOOST_TEST(settings->keys.failClosed);
     BOOST_TEST(settings->retries.share == 0.2);
     BOOST_TEST(settings->retries.window.count() == 10000);
+    BOOST_TEST(settings->quarantine.limit == 3U);
+    BOOST_TEST(settings->quarantine.time.count() == 600000);
     BOOST_TEST(settings->endpoints.renewalInterval.count() == 1200);
     BOOST_TEST(settings->grace.time.count() == 8000);
 }
@@ -163,6 +165,8 @@
         {"[keys]\nfail_closed=1\n", "f.toml:14:13: 'keys.fail_closed' must be true or false"},
         {"[keys]\nrevocation_bound_ms=1\n", "f.toml:14:21: 'keys.revocation_bound_ms' must be a whole number from 500 to 3600000 milliseconds"},
         {"[retries]\nshare=nan\n", "f.toml:14:7: 'retries.share' must be a number from 0 to 10"},
+        {"[quarantine]\nlimit=0\n", "f.toml:14:7: 'quarantine.limit' must be a whole number from 1 to 100"},
+        {"[quarantine]\ntime_s=0\n", "f.toml:14:8: 'quarantine.time_s' must be a number from 1 to 86400"},
         {"[retries]\nwindow_s='10'\n", "f.toml:14:10: 'retries.window_s' must be a number from 0.1 to 3600"},
         {"[endpoints]\nrenewal_interval_ms=0\n", "f.toml:14:21: 'endpoints.renewal_interval_ms' must be a whole number from 50 to 600000 milliseconds"},
         {"[grace]\ntime_s=0\n", "f.toml:14:8: 'grace.time_s' must be a number from 0.5 to 3600"},
