routing, forward: requests under which an endpoint ended go to different endpoints when they are sent again

What callers would see: a request that ran beside the cause of an end is sent again with it to the next endpoint, as both choose by the same load, and is taken for the cause in the end. Evidence: with two such requests in progress both went to the endpoint with the larger number of slots (test red without the change: 2 and 0 in place of 1 and 1). Apart, the others' answers clear them.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -362,7 +362,8 @@
         const routing::EndpointPointer last = core_.endpoints.find(sendings_.lastReached());
         return last != nullptr && last->takesWork() ? last : nullptr;
     }
-    return core_.endpoints.choose({.service = service_, .tried = sendings_.tried()}, BootClock::now(), core_.random);
+    const bool hasReports = core_.crashes.nextOrdinal(fingerprint_) > 1;
+    return core_.endpoints.choose({.service = service_, .tried = sendings_.tried(), .isSuspect = hasReports}, BootClock::now(), core_.random);
 }
 
 void Forwarding::send(const routing::EndpointPointer &endpoint)
@@ -389,6 +390,7 @@
                                                                    .onBody = [this](std::string_view piece) { bodyCame(piece); },
                                                                    .onEnd = [this](CallEnd end) { callEnded(end); }});
     ++endpoint->inFlight;
+    endpoint->suspects += isSuspect() ? 1 : 0;
     places_->began();
     core_.metrics.sendings.add();
     if (!call_->start()) {
@@ -845,6 +847,7 @@
     call->cancel();
     timer_.stop();
     --endpoint_->inFlight;
+    endpoint_->suspects -= isSuspect() ? 1 : 0;
     places_->ended();
     spans_.endSending(incoming_.head.status, failureOf(sign));
     routing::EndpointTable::signSeen(*endpoint_, sign, BootClock::now());
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -79,6 +79,12 @@
     bool retry(std::string_view cause);
     void noteBroken();
     bool endsAsQuarantined();
+
+    /** Endpoints had ended under it when it was sent. */
+    bool isSuspect() const
+    {
+        return ordinal_ > 1;
+    }
     std::string_view retryObstacle();
     void logSending(std::string_view end, int status, std::string_view atFault, std::string_view decision);
 
--- a/libs/forward/tests/crashtest.cpp
+++ b/libs/forward/tests/crashtest.cpp
@@ -90,6 +90,23 @@
     BOOST_TEST(sendings() == static_cast<int>(reported.size()));
 }
 
+// Guards against requests that ran beside the cause of an endpoint's end meeting the next end beside it too.
+BOOST_AUTO_TEST_CASE(requests_withReportsInProgressTogether_goToDifferentEndpoints)
+{
+    // By load alone both would go to the endpoint that runs more at once.
+    RawPeer &large = addEndpoint([](int) { return RawPeer::Answer{}; });
+    task->putEndpoint({.id = "e1", .service = "s", .address = large.address(), .dataCentre = "north", .slots = 400});
+    RawPeer &small = addEndpoint([](int) { return RawPeer::Answer{}; });
+    task->putEndpoint({.id = "e2", .service = "s", .address = small.address(), .dataCentre = "south", .slots = 4});
+    reportOf("again", 1);
+    reportOf("stream", 1);
+    (void)call(request("again"));
+    (void)call(request("stream"));
+    BOOST_REQUIRE(runUntil([&] { return sendings() == 2; }));
+    BOOST_TEST(large.requests() == 1);
+    BOOST_TEST(small.requests() == 1);
+}
+
 // Guards against quarantined requests being held, or answered so that their callers come back at once.
 BOOST_AUTO_TEST_CASE(request_quarantined_isRefusedAtOnceWithTheTimeLeft)
 {
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -40,6 +40,7 @@
     EndpointRecord record;
     bool isGone = false; ///< It left the list; whoever still holds it sends it nothing new.
     std::uint32_t inFlight = 0; ///< Sent by this entry and not ended.
+    std::uint32_t suspects = 0; ///< Of these, requests under which endpoints ended.
     LoadReport load;
     std::uint32_t ownAtReport = 0; ///< inFlight when that report came.
     BootTime reportedAt;
@@ -71,7 +72,9 @@
  * others had there by its latest report, which counts less as it ages. An endpoint that failed is avoided for a time that
  * grows with each failure in a row, and is then tried by one request after the other; nothing is asked of it besides, as
  * health checks cost its slots. Engines of a group fail together: which they are is learnt from refusals that name another
- * endpoint as the cause, and a group that refused is tried by one request at a time until one is answered. Lives as long as its entry's task. Not thread-safe.
+ * endpoint as the cause, and a group that refused is tried by one request at a time until one is answered. Of
+ * the requests under which an endpoint ended one is the cause; they go to different endpoints as far as there are, so that the
+ * others' answers clear them. Lives as long as its entry's task. Not thread-safe.
  *
  * @code
  * table.put(record);
@@ -88,6 +91,7 @@
     struct ChoiceRequest {
         std::string_view service;
         std::span<const std::string> tried{}; ///< Ids not to be taken again.
+        bool isSuspect = false; ///< Endpoints ended under it.
     };
 
     explicit EndpointTable(Options options);
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -100,6 +100,19 @@
     BOOST_TEST(choices(50)["c"] == 50);
 }
 
+// Guards against requests that ran beside the cause of an endpoint's end meeting the next end beside it too.
+BOOST_AUTO_TEST_CASE(endpoint_runsASuspect_isTakenByAnotherOnlyIfThereIsNoElse)
+{
+    table.find("a")->suspects = 1;
+    table.find("b")->suspects = 1;
+    table.find("c")->inFlight = 3;
+    const auto chosen = [this] { return table.choose({.service = "s", .isSuspect = true}, Now, random)->record.id; };
+    BOOST_TEST(chosen() == "c");
+    table.find("c")->suspects = 1;
+    BOOST_TEST(chosen() != "c"); // By load then.
+    BOOST_TEST(table.choose({.service = "s"}, Now, random)->record.id != "c"); // Others go by load all the while.
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_othersRequestsReported_isNotTakenUntilTheReportIsOld)
 {
     for (const char *id : {"a", "b"}) {
