routing: two ends, one after the other, quarantine a request

Hypothesis: the second end, when the request was sent apart from the others that met the first, tells the cause as well as a third does; each end stops a whole group for four seconds. Risk: innocents that meet two ends by chance.

--- a/libs/routing/include/routing/quarantine.h
+++ b/libs/routing/include/routing/quarantine.h
@@ -44,7 +44,7 @@
 {
 public:
     struct Options {
-        std::size_t limit = 3; ///< Reports that quarantine a request.
+        std::size_t limit = 2; ///< Reports that quarantine a request.
         Duration time{600000}; ///< Of the first quarantine; reports below the limit are forgotten after it.
         Duration longestTime{86400000};
         Duration answerTime{60000}; ///< A request that was answered within it is not reported.
--- a/libs/settings/include/settings/sections.h
+++ b/libs/settings/include/settings/sections.h
@@ -122,7 +122,7 @@
 
 /** [quarantine]: of requests under which endpoints end. */
 struct QuarantineSettings {
-    std::size_t limit = 3; ///< Endpoints that have to end under a request, one after the other.
+    std::size_t limit = 2; ///< Endpoints that have to end under a request, one after the other.
     Duration time{600000}; ///< For which it is sent to none then; twice as long after each further one.
 };
 
