--- /dev/null
+++ b/libs/forward/src/admission.cpp
@@ -0,0 +1,63 @@
+#include "admission.h"
+
+#include "routing/fingerprint.h"
+
+namespace magnolia::forward
+{
+
+namespace
+{
+
+constexpr int StatusUnauthorised = 401;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
+
+constexpr Duration RetryAfterNoRoutes{800};
+constexpr Duration RetryAfterNoProof{1000};
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string fingerprintOf(const CallerMessage &request, const routing::Organisation *organisation)
+{
+    return routing::fingerprintOf({.method = request.head.method,
+                                   .host = request.head.headers.value("host"),
+                                   .target = request.head.target,
+                                   .organisation = organisation == nullptr ? std::string_view() : std::string_view(organisation->name),
+                                   .body = request.body});
+}
+
+} // namespace
+
+tl::expected<AdmittedRequest, Rejection> admitRequest(const AdmissionInput &input)
+{
+    if (input.routes == nullptr) {
+        return tl::unexpected(Rejection{.status = StatusUnavailable, .retryAfter = RetryAfterNoRoutes, .cause = "no routes are known yet"});
+    }
+    const http::HeaderList &headers = input.request->head.headers;
+    const bool isProved = input.proof->isFresh(input.now);
+    const routing::Route *route = input.routes->match(headers.value("host"), pathOf(input.request->head.target));
+    if (route == nullptr && !isProved) {
+        return tl::unexpected(
+            Rejection{.status = StatusUnavailable, .retryAfter = RetryAfterNoProof, .cause = "no route is known, and a newer version may have one"});
+    }
+    if (route == nullptr) {
+        return tl::unexpected(Rejection{.status = StatusNotFound, .cause = "no route leads there"});
+    }
+    if (!input.routes->needsKeys() || route->isPublic) {
+        return AdmittedRequest{.route = route, .fingerprint = fingerprintOf(*input.request, nullptr)};
+    }
+    if (!isProved) {
+        return tl::unexpected(Rejection{
+            .status = StatusUnavailable, .retryAfter = RetryAfterNoProof, .cause = "it is not proved that the known keys are still valid", .route = route});
+    }
+    const routing::Organisation *organisation = input.routes->organisationOf(headers.value(input.protocol->key));
+    if (organisation == nullptr) {
+        return tl::unexpected(Rejection{.status = StatusUnauthorised, .cause = "no organisation holds that key", .route = route});
+    }
+    return AdmittedRequest{.route = route, .organisation = organisation, .fingerprint = fingerprintOf(*input.request, organisation)};
+}
+
+} // namespace magnolia::forward
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -3,7 +3,6 @@
 #include "base/errorcode.h"
 #include "http/errorbody.h"
 #include "outgoingrequest.h"
-#include "routing/fingerprint.h"
 
 #include <spdlog/fmt/fmt.h>
 
@@ -68,7 +67,6 @@
 
 // With nobody to send to, or only refusals: engines that restart are back after about a second.
 constexpr Duration RetryAfterUnavailable{800};
-constexpr Duration RetryAfterNoProof{1000};
 constexpr Duration RetryAfterFull{1000}; // Streams last one to two seconds.
 // A group that did not come back while its caller waited lacks a rank, which is restarted or replaced within some seconds.
 constexpr Duration RetryAfterGroup{1800};
@@ -88,11 +86,6 @@
     return status >= StatusOk && status < FirstRedirect;
 }
 
-std::string_view pathOf(std::string_view target)
-{
-    return target.substr(0, target.find('?'));
-}
-
 /** @return empty if it is no sign of sickness. */
 std::string_view failureOf(EndpointSign sign)
 {
@@ -143,13 +136,19 @@
 void Forwarding::admit()
 {
     routes_ = core_.routes;
-    if (routes_ == nullptr) {
-        if (!waitForNews()) {
-            refuse(StatusUnavailable, RetryAfterNoProof, "no routes are known yet");
-        }
-        return;
-    }
-    if (!findRoute() || !findOrganisation()) {
+    auto admitted = admitRequest({.routes = routes_.get(),
+                                  .proof = &core_.proof,
+                                  .protocol = &core_.options.protocol,
+                                  .request = &request_,
+                                  .now = BootClock::now()});
+    if (!admitted) {
+        turnAway(admitted.error());
+        return;
+    }
+    route_ = admitted->route;
+    organisation_ = admitted->organisation;
+    fingerprint_ = std::move(admitted->fingerprint);
+    if (endsAsQuarantined()) {
         return;
     }
     if (route_->timeout.count() > 0) {
@@ -159,10 +158,6 @@
         refuse(StatusUnavailable, RetryAfterStopping, "this entry is stopping");
         return;
     }
-    identify();
-    if (endsAsQuarantined()) {
-        return;
-    }
     pickService();
     core_.allowanceOf(service_).requestCame(BootClock::now());
     if (const auto resumed = numberOf(request_.head.headers.value(core_.options.protocol.lastEventId))) {
@@ -171,13 +166,16 @@
     takePlace();
 }
 
-void Forwarding::identify()
+void Forwarding::turnAway(const Rejection &rejection)
 {
-    fingerprint_ = routing::fingerprintOf({.method = request_.head.method,
-                                           .host = request_.head.headers.value("host"),
-                                           .target = request_.head.target,
-                                           .organisation = organisation_ == nullptr ? std::string_view() : std::string_view(organisation_->name),
-                                           .body = request_.body});
+    route_ = rejection.route;
+    if (!rejection.retryAfter) {
+        answerOwn(rejection.status, std::nullopt, rejection.cause);
+        return;
+    }
+    if (!waitForNews()) {
+        refuse(rejection.status, *rejection.retryAfter, rejection.cause);
+    }
 }
 
 void Forwarding::pickService()
@@ -276,41 +274,6 @@
     isAdmitted ? sendNext() : admit();
 }
 
-bool Forwarding::findRoute()
-{
-    route_ = routes_->match(request_.head.headers.value("host"), pathOf(request_.head.target));
-    if (route_ != nullptr) {
-        return true;
-    }
-    if (!core_.proof.isFresh(BootClock::now())) {
-        if (!waitForNews()) {
-            refuse(StatusUnavailable, RetryAfterNoProof, "no route is known, and a newer version may have one");
-        }
-        return false;
-    }
-    answerOwn(StatusNotFound, std::nullopt, "no route leads there");
-    return false;
-}
-
-bool Forwarding::findOrganisation()
-{
-    if (!routes_->needsKeys() || route_->isPublic) {
-        return true;
-    }
-    if (!core_.proof.isFresh(BootClock::now())) {
-        if (!waitForNews()) {
-            refuse(StatusUnavailable, RetryAfterNoProof, "it is not proved that the known keys are still valid");
-        }
-        return false;
-    }
-    organisation_ = routes_->organisationOf(request_.head.headers.value(core_.options.protocol.key));
-    if (organisation_ == nullptr) {
-        answerOwn(StatusUnauthorised, std::nullopt, "no organisation holds that key");
-        return false;
-    }
-    return true;
-}
-
 void Forwarding::setDeadline()
 {
     const auto stated = numberOf(request_.head.headers.value(core_.options.protocol.deadline));
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIA_FORWARD_FORWARDING_H
 #define MAGNOLIA_FORWARD_FORWARDING_H
 
+#include "admission.h"
 #include "answersink.h"
 #include "endpointcall.h"
 #include "eventcutter.h"
@@ -65,9 +66,7 @@
     void endWaiting();
     bool isGroupBack() const;
     routing::EndpointPointer nextEndpoint() const;
-    bool findRoute();
-    bool findOrganisation();
-    void identify();
+    void turnAway(const Rejection &rejection);
     void setDeadline();
 
     // Sendings.
