--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -136,11 +136,8 @@
 void Forwarding::admit()
 {
     routes_ = core_.routes;
-    auto admitted = admitRequest({.routes = routes_.get(),
-                                  .proof = &core_.proof,
-                                  .protocol = &core_.options.protocol,
-                                  .request = &request_,
-                                  .now = BootClock::now()});
+    auto admitted =
+        admitRequest({.routes = routes_.get(), .proof = &core_.proof, .protocol = &core_.options.protocol, .request = &request_, .now = BootClock::now()});
     if (!admitted) {
         turnAway(admitted.error());
         return;
