--- a/libs/forward/src/endpointlist.cpp
+++ b/libs/forward/src/endpointlist.cpp
@@ -1,6 +1,7 @@
 #include "forward/endpointlist.h"
 
 #include "observe/log.h"
+#include "store/storeversion.h"
 
 #include <algorithm>
 #include <vector>
@@ -33,6 +34,9 @@
         log()->info("An answer is older than what is known version={} own={}", version, version_);
         return false;
     }
+    if (version_ > 0 && store::eraOf(version) > store::eraOf(version_)) {
+        roster_.wentBack(BootClock::now());
+    }
     version_ = version;
     return true;
 }
--- a/libs/routing/include/routing/endpointroster.h
+++ b/libs/routing/include/routing/endpointroster.h
@@ -53,6 +53,12 @@
     /** All ids of a full read: the others are removed. @return those whose entries were there before. */
     std::vector<Absence> all(std::span<const std::string> ids, BootTime now);
 
+    /** The list has gone back to an older state: what endpoints wrote since comes again. */
+    void wentBack(BootTime now)
+    {
+        comeBackUntil_ = now + options_.comeBackTime;
+    }
+
     /** All that was told is the list as of then, by the list's own answer or a peer's. */
     void confirmed(BootTime asOf, BootTime now);
 
--- a/libs/store/include/store/changefeed.h
+++ b/libs/store/include/store/changefeed.h
@@ -17,13 +17,13 @@
     std::string key;
     std::string value;
     bool isRemoved = false;
-    std::uint64_t version = 0; ///< Of its last change; 0 if the store did not say.
+    std::uint64_t version = 0; ///< Of its last change, in the store's present era; 0 if the store did not say.
 };
 
 /** What the store answered. */
 struct FeedAnswer {
     std::vector<FeedRow> rows{}; ///< In the order of their changes, or by key if all were read.
-    std::uint64_t version = 0; ///< Changes are asked for behind it the next time.
+    std::uint64_t version = 0; ///< Changes are asked for behind it the next time; compares across eras, see storeversion.h.
     Duration storeTime{0}; ///< The store's steady clock when it answered.
     bool isHistoryGone = false; ///< The changes asked for are no longer known: all rows have to be read.
 };
