--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -26,8 +26,8 @@
 constexpr int StatusUnauthorised = 401;
 constexpr int StatusNotFound = 404;
 constexpr int StatusMisdirected = 421;
-constexpr int StatusBadGateway = 502;
 constexpr int StatusTooManyRequests = 429;
+constexpr int StatusBadGateway = 502;
 constexpr int StatusUnavailable = 503;
 constexpr int StatusTimeout = 504;
 
