forward, routing: logs tell what is known of an endpoint as a sending is given up

Whether the endpoint, its path or its whole service was silent could not be told from the logs: they named only the request's own silence. Each endpoint and each service now has the time at which something last came from it, and 'Sending cancelled' tells both.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -414,6 +414,25 @@
                             .alongside = endpoint_->inFlight});
 }
 
+/** What is known of the endpoint as it is told, by the end of its connection, to stop the work. */
+void Forwarding::logCancel(std::string_view cause)
+{
+    if (call_ == nullptr) {
+        return;
+    }
+    const BootTime now = BootClock::now();
+    core_.log.sendingCancelled({.requestId = requestId_,
+                                .endpoint = endpoint_->record.id,
+                                .cause = cause,
+                                .isConnected = call_->isConnected(),
+                                .isAnswering = call_->hasAnswer(),
+                                .took = now - sentAt_,
+                                .silence = now - heardAt_,
+                                .endpointSilence = now - endpoint_->heardAt,
+                                .serviceSilence = now - core_.endpoints.serviceHeardAt(service_),
+                                .alongside = endpoint_->inFlight});
+}
+
 /** Sends it elsewhere if kind, bound and budget allow. @return false if not. */
 bool Forwarding::retry(std::string_view cause)
 {
@@ -472,6 +491,7 @@
 {
     const auto self = shared_from_this();
     heardAt_ = BootClock::now();
+    core_.endpoints.heard(*endpoint_, heardAt_);
     const Protocol &protocol = core_.options.protocol;
     if (protocol.parseLoad != nullptr) {
         if (const auto load = protocol.parseLoad(head.headers.value(protocol.load))) {
@@ -495,6 +515,7 @@
 {
     const auto self = shared_from_this();
     heardAt_ = BootClock::now();
+    core_.endpoints.heard(*endpoint_, heardAt_);
     if (isStreamAnswer_) {
         streamPieceCame(piece);
         return;
@@ -758,6 +779,7 @@
         mayHaveRun_ = true;
         core_.metrics.retries.add();
         hasRetried_ = true;
+        logCancel("silent");
         endCall(EndpointSign::Failed);
         logSending("silent", 0, {}, "retry");
         sendNext();
@@ -856,6 +878,7 @@
 {
     const auto self = shared_from_this();
     core_.metrics.hangups.add();
+    logCancel("the caller left");
     endCall(EndpointSign::Refused);
     finish("hung-up", 0, "the caller left");
 }
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -85,6 +85,7 @@
         return ordinal_ > 1;
     }
     std::string_view retryObstacle();
+    void logCancel(std::string_view cause);
     void logSending(std::string_view end, int status, std::string_view atFault, std::string_view decision);
 
     // Answers.
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -70,6 +70,25 @@
                 record.alongside);
 }
 
+void RequestLog::sendingCancelled(const CancelRecord &record)
+{
+    if (!mayWrite()) {
+        return;
+    }
+    log()->info("Sending cancelled id={} endpoint={} cause={} connected={} answering={} took_ms={} silent_ms={} endpoint_silent_ms={} service_silent_ms={} "
+                "alongside={}",
+                record.requestId,
+                record.endpoint,
+                record.cause,
+                record.isConnected,
+                record.isAnswering,
+                milliseconds(record.took),
+                milliseconds(record.silence),
+                milliseconds(record.endpointSilence),
+                milliseconds(record.serviceSilence),
+                record.alongside);
+}
+
 void RequestLog::limited(std::string_view service, BootClock::duration pause, std::size_t inProgress, double limit)
 {
     if (!mayWrite()) {
--- a/libs/forward/src/requestlog.h
+++ b/libs/forward/src/requestlog.h
@@ -47,6 +47,20 @@
     std::uint32_t alongside = 0; ///< Other requests of this instance in progress at that endpoint.
 };
 
+/** One sending that was given up while it was in progress. */
+struct CancelRecord {
+    std::string_view requestId{};
+    std::string_view endpoint{};
+    std::string_view cause{};
+    bool isConnected = false;
+    bool isAnswering = false; ///< The head of an answer has come.
+    BootClock::duration took{}; ///< Since it was sent.
+    BootClock::duration silence{}; ///< Since something last came for this request.
+    BootClock::duration endpointSilence{}; ///< Since something last came from the endpoint for any request of this instance.
+    BootClock::duration serviceSilence{}; ///< The same of all endpoints of its service.
+    std::uint32_t alongside = 0; ///< Requests of this instance in progress at that endpoint, this one included.
+};
+
 /**
  * Writes one line for each request that did not simply get its answer, and a sample of the others.
  *
@@ -60,6 +74,8 @@
 
     void sendingEnded(const SendingRecord &record);
 
+    void sendingCancelled(const CancelRecord &record);
+
     /** Fewer streams of a service are let in from now on. */
     void limited(std::string_view service, BootClock::duration pause, std::size_t inProgress, double limit);
 
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -48,6 +48,7 @@
     BootTime avoidUntil; ///< Taken before that only if there is no other.
     std::uint32_t group = 0; ///< Endpoints that were seen to refuse for one another's sake; 0: none seen.
     BootTime refusesUntil; ///< Its group does not run; the epoch if it does as far as is known.
+    BootTime heardAt; ///< When something last came from it, or the first of the requests in progress there was sent.
 
     bool takesWork() const
     {
@@ -124,6 +125,12 @@
     /** It answered a request, so its group runs. @return true if that was in doubt. */
     bool groupAnswered(Endpoint &endpoint);
 
+    /** Something came from it. */
+    void heard(Endpoint &endpoint, BootTime now);
+
+    /** @return when something last came from any endpoint of the service; the epoch if nothing has. */
+    BootTime serviceHeardAt(std::string_view service) const;
+
     static void reported(Endpoint &endpoint, const LoadReport &load, BootTime now);
     static void signSeen(Endpoint &endpoint, EndpointSign sign, BootTime now);
 
@@ -138,6 +145,7 @@
     Options options_;
     TextMap<EndpointPointer> byId_;
     TextMap<std::vector<EndpointPointer>> byService_;
+    TextMap<BootTime> heardAt_; ///< By service.
     std::uint32_t lastGroup_ = 0;
     TextMap<std::uint32_t> groupsByFault_; ///< By the address that refusals named, which may have left the list.
 };
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -154,6 +154,9 @@
     if (endpoint.refusesUntil != BootTime()) {
         markGroup(endpoint, now + GroupPause);
     }
+    if (endpoint.inFlight == 0) {
+        endpoint.heardAt = now;
+    }
 }
 
 bool EndpointTable::groupAnswered(Endpoint &endpoint)
@@ -188,6 +191,23 @@
     }
 }
 
+void EndpointTable::heard(Endpoint &endpoint, BootTime now)
+{
+    endpoint.heardAt = now;
+    const auto found = heardAt_.find(endpoint.record.service);
+    if (found == heardAt_.end()) {
+        heardAt_.emplace(endpoint.record.service, now);
+    } else {
+        found->second = now;
+    }
+}
+
+BootTime EndpointTable::serviceHeardAt(std::string_view service) const
+{
+    const auto found = heardAt_.find(service);
+    return found == heardAt_.end() ? BootTime() : found->second;
+}
+
 void EndpointTable::reported(Endpoint &endpoint, const LoadReport &load, BootTime now)
 {
     endpoint.load = load;
