forward: endpoints out of reach are found by a check, and all their streams move at once

Callers saw streams fall silent for two seconds and left; endpoints worked on for them, since the instance stood still and no cancellation reached it.

Cause: each request judged the silence of its endpoint for itself, after 1.7 s of the 2.0 s after which callers leave. Until the first had done so, new requests were sent there.

SilenceWatch asks an endpoint for a sign of life once nothing has come from it for 0.4 s while others of its service spoke, or for 1 s in any case. What does not answer in 0.25 s gets nothing new, and its streams move while over a second is left. A process that was itself held up draws no conclusion.

--- a/libs/forward/include/forward/protocol.h
+++ b/libs/forward/include/forward/protocol.h
@@ -35,6 +35,7 @@
     std::string priority = "X-Priority";
     std::string lastEventId = "Last-Event-Id";
     std::string generationSize = "X-Tokens";
+    std::string liveness{}; ///< Path that endpoints answer at once, whatever they run; any answer is a sign of life. Empty: they are not asked.
     std::string health = "/health"; ///< Path that the balancer asks for readiness.
 
     std::optional<routing::LoadReport> (*parseLoad)(std::string_view value) = nullptr;
--- a/libs/forward/src/forwardcore.h
+++ b/libs/forward/src/forwardcore.h
@@ -9,6 +9,7 @@
 #include "http/timer.h"
 #include "placequeue.h"
 #include "requestlog.h"
+#include "silencewatch.h"
 
 #include <functional>
 #include <memory>
@@ -33,6 +34,7 @@
         , random(seededRandom())
         , metrics(metricsRegistry)
         , crashes(eventLoop, connections, options.quarantine, metrics, [this] { tellNewsSoon(); })
+        , silence(eventLoop, endpoints, metrics, options.protocol.liveness)
         , newsTimer(eventLoop, [this] { tellNews(); })
     {
     }
@@ -115,6 +117,7 @@
     Random random;
     ForwardMetrics metrics;
     CrashWatch crashes;
+    SilenceWatch silence;
     RequestLog log;
     bool isStopping = false;
     BootTime takesUntil; ///< While stopping: any request is taken before that.
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -352,6 +352,13 @@
     ++endpoint->inFlight;
     endpoint->suspects += isSuspect() ? 1 : 0;
     places_->began();
+    if (route_->kind == RouteKind::Stream) {
+        core_.silence.began(endpoint, this, [moving = weak_from_this()] {
+            if (const auto self = moving.lock()) {
+                (void)self->moveFromSilent("endpoint silent");
+            }
+        });
+    }
     core_.metrics.sendings.add();
     if (!call_->start()) {
         callEnded(CallEnd::NotSent);
@@ -773,19 +780,27 @@
         callEnded(CallEnd::NotSent);
         return;
     }
-    const bool couldMove = mayRepeat() && sendings_.mayTryAnother(route_->maxEndpoints);
-    if (isOver && couldMove && core_.allowanceOf(service_).tryRetry(now)) {
-        core_.connections.closeAll(endpoint_->record.id);
-        mayHaveRun_ = true;
-        core_.metrics.retries.add();
-        hasRetried_ = true;
-        logCancel("silent");
-        endCall(EndpointSign::Failed);
-        logSending("silent", 0, {}, "retry");
-        sendNext();
-        return;
+    if (!isOver || !moveFromSilent("silent")) {
+        startTimer();
     }
-    startTimer();
+}
+
+/** Sends it elsewhere, since nothing comes from the endpoint. @return false if that is not allowed. */
+bool Forwarding::moveFromSilent(std::string_view cause)
+{
+    const bool couldMove = call_ != nullptr && mayRepeat() && sendings_.mayTryAnother(route_->maxEndpoints);
+    if (!couldMove || !core_.allowanceOf(service_).tryRetry(BootClock::now())) {
+        return false;
+    }
+    core_.connections.closeAll(endpoint_->record.id);
+    mayHaveRun_ = true;
+    core_.metrics.retries.add();
+    hasRetried_ = true;
+    logCancel(cause);
+    endCall(EndpointSign::Failed);
+    logSending(cause, 0, {}, "retry");
+    sendNext();
+    return true;
 }
 
 void Forwarding::giveUp()
@@ -827,6 +842,7 @@
         return;
     }
     call->cancel();
+    core_.silence.ended(endpoint_->record.id, this);
     timer_.stop();
     --endpoint_->inFlight;
     endpoint_->suspects -= isSuspect() ? 1 : 0;
--- a/libs/forward/src/forwardmetrics.h
+++ b/libs/forward/src/forwardmetrics.h
@@ -24,6 +24,8 @@
         , endsUnderRequests(metrics.counter("magnolia_forward_ends_under_requests_total", "Requests under which an endpoint ended, each time."))
         , quarantined(metrics.counter("magnolia_forward_quarantined_total", "Requests refused since endpoints ended under their like."))
         , reportedRequests(metrics.gauge("magnolia_forward_reported_requests", "Requests that endpoints were reported to have ended under."))
+        , livenessChecks(metrics.counter("magnolia_forward_liveness_checks_total", "Silent endpoints asked for a sign of life, each time."))
+        , silentEndpoints(metrics.gauge("magnolia_forward_silent_endpoints", "Endpoints that gave no sign of life when last asked."))
         , callers(metrics.gauge("magnolia_forward_caller_connections", "Open connections of callers."))
         , inProgress(metrics.gauge("magnolia_forward_in_progress", "Requests in progress."))
         , routesVersion(metrics.gauge("magnolia_forward_routes_version", "Version of the routes in force."))
@@ -45,6 +47,8 @@
     observe::Counter &endsUnderRequests;
     observe::Counter &quarantined;
     observe::Gauge &reportedRequests;
+    observe::Counter &livenessChecks;
+    observe::Gauge &silentEndpoints;
     observe::Gauge &callers;
     observe::Gauge &inProgress;
     observe::Gauge &routesVersion;
--- /dev/null
+++ b/libs/forward/src/silencewatch.cpp
@@ -0,0 +1,183 @@
+#include "silencewatch.h"
+
+#include "observe/log.h"
+
+#include <utility>
+#include <vector>
+
+namespace magnolia::forward
+{
+
+namespace
+{
+
+// Callers abandon a stream after two seconds without an event at the earliest. The check and the first event elsewhere have to fit in.
+constexpr Duration SilenceBesidePeers{400};
+constexpr Duration SilenceOfAll{1000};
+
+// Two words further apart than this are of different passes of a group.
+constexpr Duration SamePass{50};
+
+constexpr Duration AnswerTime{250};
+constexpr Duration CheckInterval{1000}; ///< Between two checks of an endpoint that answered.
+constexpr Duration RecheckInterval{500}; ///< Of one that is silent.
+constexpr Duration TickInterval{50};
+
+// A process that was held up itself can't tell who is late.
+constexpr Duration LongestDelay{150};
+
+std::shared_ptr<spdlog::logger> log()
+{
+    static const auto instance = observe::logger("endpoints");
+    return instance;
+}
+
+std::int64_t milliseconds(BootClock::duration duration)
+{
+    return std::chrono::duration_cast<Duration>(duration).count();
+}
+
+} // namespace
+
+SilenceWatch::SilenceWatch(event_base *loop, const routing::EndpointTable &endpoints, ForwardMetrics &metrics, std::string path)
+    : loop_(loop), endpoints_(endpoints), metrics_(metrics), path_(std::move(path)), timer_(loop, [this] { tick(); })
+{
+}
+
+void SilenceWatch::began(const routing::EndpointPointer &endpoint, const void *owner, std::function<void()> silent)
+{
+    if (!isEnabled()) {
+        return;
+    }
+    if (watched_.empty()) {
+        tickedAt_ = BootClock::now();
+        timer_.start(TickInterval);
+    }
+    Watched &watched = watched_[endpoint->record.id];
+    if (watched.endpoint != endpoint) {
+        watched = {.endpoint = endpoint, .owners = {}, .client = nullptr, .checkedAt = {}, .isChecking = false};
+    }
+    watched.owners[owner] = std::move(silent);
+}
+
+void SilenceWatch::ended(std::string_view endpoint, const void *owner)
+{
+    const auto found = watched_.find(endpoint);
+    if (found != watched_.end()) {
+        found->second.owners.erase(owner);
+    }
+}
+
+void SilenceWatch::tick()
+{
+    const BootTime now = BootClock::now();
+    noteDelay(now);
+    std::erase_if(watched_, [this](const auto &entry) { return isIdle(entry.second); });
+    for (auto &[id, watched] : watched_) {
+        if (watched.endpoint->isSilent && watched.endpoint->heardAt > watched.checkedAt) {
+            foundAnswering(watched, now);
+        }
+        if (isDue(watched, now)) {
+            check(watched, now);
+        }
+    }
+    if (!watched_.empty()) {
+        timer_.start(TickInterval);
+    }
+}
+
+void SilenceWatch::noteDelay(BootTime now)
+{
+    if (now - tickedAt_ > LongestDelay) {
+        delayedAt_ = now;
+    }
+    tickedAt_ = now;
+}
+
+bool SilenceWatch::isIdle(const Watched &watched) const
+{
+    const bool isWanted = !watched.owners.empty() || (watched.endpoint->isSilent && watched.endpoint->takesWork());
+    return !isWanted;
+}
+
+bool SilenceWatch::isDue(const Watched &watched, BootTime now) const
+{
+    const routing::Endpoint &endpoint = *watched.endpoint;
+    if (watched.isChecking) {
+        return false;
+    }
+    if (endpoint.isSilent) {
+        return now - watched.checkedAt >= RecheckInterval;
+    }
+    const bool othersSpoke = endpoints_.serviceHeardAt(endpoint.record.service) > endpoint.heardAt + SamePass;
+    const Duration patience = othersSpoke ? SilenceBesidePeers : SilenceOfAll;
+    return now - endpoint.heardAt >= patience && now - watched.checkedAt >= CheckInterval;
+}
+
+void SilenceWatch::check(Watched &watched, BootTime now)
+{
+    const std::string &id = watched.endpoint->record.id;
+    watched.checkedAt = now;
+    watched.isChecking = true;
+    metrics_.livenessChecks.add();
+    if (watched.client == nullptr) {
+        watched.client = std::make_unique<http::HttpClient>(loop_, http::HttpClient::Options{.address = watched.endpoint->record.address, .maxConnections = 1});
+    }
+    watched.client->send({.path = path_, .timeout = AnswerTime}, [this, id](const Result<http::Response> &answer) { checked(id, answer); });
+}
+
+void SilenceWatch::checked(const std::string &id, const Result<http::Response> &answer)
+{
+    const auto found = watched_.find(id);
+    if (found == watched_.end()) {
+        return;
+    }
+    Watched &watched = found->second;
+    const BootTime now = BootClock::now();
+    noteDelay(now);
+    watched.isChecking = false;
+    // One that refuses the connection or closes it is within reach; its requests learn of its end by themselves.
+    const bool isLate = !answer && answer.error().code == ErrorCode::DeadlineExceeded;
+    if (!isLate) {
+        foundAnswering(watched, now);
+        return;
+    }
+    if (delayedAt_ < watched.checkedAt) {
+        foundSilent(watched, now);
+    }
+}
+
+void SilenceWatch::foundSilent(Watched &watched, BootTime now)
+{
+    routing::Endpoint &endpoint = *watched.endpoint;
+    if (!std::exchange(endpoint.isSilent, true)) {
+        metrics_.silentEndpoints.add(1);
+        log()->warn("Endpoint does not answer id={} address={} silent_ms={} service_silent_ms={} in_progress={}",
+                    endpoint.record.id,
+                    endpoint.record.address,
+                    milliseconds(now - endpoint.heardAt),
+                    milliseconds(now - endpoints_.serviceHeardAt(endpoint.record.service)),
+                    endpoint.inFlight);
+    }
+    std::vector<std::function<void()>> told;
+    for (const auto &[owner, silent] : watched.owners) {
+        told.push_back(silent);
+    }
+    for (const auto &silent : told) {
+        silent();
+    }
+}
+
+void SilenceWatch::foundAnswering(Watched &watched, BootTime now)
+{
+    routing::Endpoint &endpoint = *watched.endpoint;
+    if (!std::exchange(endpoint.isSilent, false)) {
+        return;
+    }
+    endpoint.failures = 0;
+    endpoint.avoidUntil = {};
+    metrics_.silentEndpoints.add(-1);
+    log()->info("Endpoint answers again id={} address={} silent_ms={}", endpoint.record.id, endpoint.record.address, milliseconds(now - endpoint.heardAt));
+}
+
+} // namespace magnolia::forward
--- a/libs/forward/tests/forwardfixture.h
+++ b/libs/forward/tests/forwardfixture.h
@@ -53,7 +53,8 @@
 
 /** An entry between scripted endpoints and callers that send raw bytes. */
 struct ForwardFixture : http::LoopFixture {
-    ForwardFixture()
+    /** @param liveness path at which silent endpoints are asked for a sign of life; empty: they are not. */
+    explicit ForwardFixture(std::string liveness = {}) : livenessPath(std::move(liveness))
     {
         restart(nullptr);
     }
@@ -67,6 +68,7 @@
         options.dataCentre = "north";
         options.callersAddress = "127.0.0.1:0";
         options.readyAddress = "127.0.0.1:0";
+        options.protocol.liveness = livenessPath;
         options.protocol.parseLoad = [](std::string_view value) -> std::optional<routing::LoadReport> {
             routing::LoadReport load;
             const std::string text(value);
@@ -156,6 +158,7 @@
         return sum;
     }
 
+    std::string livenessPath;
     observe::Metrics metrics;
     std::unique_ptr<ForwardTask> task;
     bool isStopped = false;
--- a/libs/forward/tests/silentendpointtest.cpp
+++ b/libs/forward/tests/silentendpointtest.cpp
@@ -29,7 +29,7 @@
         int streams = 0; ///< Requests for streams that it has seen.
     };
 
-    SilenceFixture()
+    SilenceFixture() : ForwardFixture("/live")
     {
         routing::RoutingConfig config;
         config.version = 1;
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -112,7 +112,7 @@
             continue;
         }
         const bool meetsSuspect = request.isSuspect && endpoint->suspects > 0;
-        const bool isAvoided = meetsSuspect || now < std::max(endpoint->avoidUntil, endpoint->refusesUntil);
+        const bool isAvoided = endpoint->isSilent || meetsSuspect || now < std::max(endpoint->avoidUntil, endpoint->refusesUntil);
         const double itsCost = cost(*endpoint, now) + drawn(random);
         const bool isBetter = best == nullptr || (isBestAvoided && !isAvoided) || (isBestAvoided == isAvoided && itsCost < bestCost);
         if (isBetter) {
