forward: a stream that waits for its turn is not sent to a second endpoint

Callers of an overloaded service saw nothing of it, but each stream without an event for 1.7 s was sent to a second endpoint, where it waited anew, 0.3 s before its caller left: one more run to be abandoned, one more place in the retry budget, and a pause for an endpoint that was well, so that new requests piled up at the others.

A stream now moves for its own silence only if its endpoint went on with others: with a later one if its answer has not begun, with any if it has. That an endpoint is out of reach is found by SilenceWatch. Without liveness checks it is as before.

stream_waitsForItsTurnAtAnEndpointThatSpeaks_isNotSentTwice failed before (sent to both) and passes.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -507,6 +507,7 @@
         }
     }
     incoming_.head = head;
+    endpoint_->begunSentAt = std::max(endpoint_->begunSentAt, sentAt_);
     if (isSuccess(head.status)) {
         core_.endpoints.groupAnswered(*endpoint_);
         core_.served(service_);
@@ -780,11 +781,24 @@
         callEnded(CallEnd::NotSent);
         return;
     }
-    if (!isOver || !moveFromSilent("silent")) {
+    if (!isOver || !isLeftBehind() || !moveFromSilent("silent")) {
         startTimer();
     }
 }
 
+/**
+ * A request for which nothing comes for long either waits with all others of its endpoint, and would wait anew elsewhere, or it alone is stuck.
+ *
+ * @return true if its endpoint went on with others. Whether the endpoint is out of reach is for the watch to find.
+ */
+bool Forwarding::isLeftBehind() const
+{
+    if (route_->kind != RouteKind::Stream || !core_.silence.isEnabled()) {
+        return true;
+    }
+    return call_->hasAnswer() ? endpoint_->heardAt > heardAt_ : endpoint_->begunSentAt > sentAt_;
+}
+
 /** Sends it elsewhere, since nothing comes from the endpoint. @return false if that is not allowed. */
 bool Forwarding::moveFromSilent(std::string_view cause)
 {
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -100,6 +100,7 @@
 
     // Ends.
     void timerFired();
+    bool isLeftBehind() const;
     bool moveFromSilent(std::string_view cause);
     void startTimer();
     BootTime patienceEnds() const;
--- a/libs/forward/tests/silentendpointtest.cpp
+++ b/libs/forward/tests/silentendpointtest.cpp
@@ -25,6 +25,7 @@
 struct SilenceFixture : ForwardFixture {
     struct Streaming {
         RawPeer *peer = nullptr;
+        bool isFull = false; ///< New streams wait.
         bool isSilent = false; ///< Nothing comes from it any more, whatever arrives there.
         int streams = 0; ///< Requests for streams that it has seen.
     };
@@ -61,6 +62,9 @@
         if (!isStream) {
             return {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
         }
+        if (streaming.isFull) {
+            return {};
+        }
         const std::size_t at = request.find("X-Request-Id: ") + 14;
         std::string bytes = streamHead(request.substr(at, request.find('\r', at) - at));
         for (int id = 1; id <= event; ++id) {
@@ -75,7 +79,7 @@
         const std::string chunk = eventChunk(++event);
         for (const auto &streaming : served) {
             if (!streaming->isSilent) {
-                streaming->peer->sendOnAll(chunk);
+                streaming->peer->sendOnAnswered(chunk);
             }
         }
     }
@@ -157,6 +161,40 @@
     BOOST_TEST(streamsAt(0) > before);
 }
 
+// Guards against streams that wait for their turn being sent to a second endpoint just before their callers leave.
+BOOST_AUTO_TEST_CASE(stream_waitsForItsTurnAtAnEndpointThatSpeaks_isNotSentTwice)
+{
+    addStreaming();
+    addStreaming();
+    call(streamRequest("r1"));
+    runPasses(EventInterval);
+    call(streamRequest("r2"));
+    runPasses(3 * EventInterval);
+    served[0]->isFull = true;
+    served[1]->isFull = true;
+    call(streamRequest("r3"));
+    runPasses(CallerPatience);
+    BOOST_TEST(streamsAt(0) + streamsAt(1) == 3);
+}
+
+// Guards against a stream whose connection leads nowhere being taken for one that waits for its turn.
+BOOST_AUTO_TEST_CASE(stream_overtakenByALaterOne_isSentElsewhere)
+{
+    addStreaming();
+    call(streamRequest("r1"));
+    runPasses(3 * EventInterval);
+    served[0]->isFull = true;
+    call(streamRequest("r2"));
+    runPasses(3 * EventInterval);
+    served[0]->isFull = false;
+    call(streamRequest("r3"));
+    runPasses(EventInterval);
+    BOOST_REQUIRE(streamsAt(0) == 3);
+    addStreaming();
+    runPasses(CallerPatience);
+    BOOST_TEST(streamsAt(1) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::forward
--- a/libs/http/tests/rawpeer.h
+++ b/libs/http/tests/rawpeer.h
@@ -90,6 +90,7 @@
     }
     void closeAll()
     {
+        answered_.clear();
         streams_.clear();
     }
     void resetAll()
@@ -97,8 +98,16 @@
         for (const StreamPtr &stream : streams_) {
             resetOnClose(stream.get());
         }
+        answered_.clear();
         streams_.clear();
     }
+    /** Sends on connections whose last request had an answer that was not empty. */
+    void sendOnAnswered(std::string_view bytes)
+    {
+        for (bufferevent *stream : answered_) {
+            bufferevent_write(stream, bytes.data(), bytes.size());
+        }
+    }
     void sendOnAll(std::string_view bytes)
     {
         for (const StreamPtr &stream : streams_) {
@@ -116,6 +125,7 @@
 
     void drop(bufferevent *stream)
     {
+        std::erase(answered_, stream);
         std::erase_if(streams_, [stream](const StreamPtr &entry) { return entry.get() == stream; });
     }
 
@@ -142,6 +152,10 @@
         peer->lastRequest_ = received;
         const Answer answer = peer->script_(++peer->requests_);
         bufferevent_write(stream, answer.bytes.data(), answer.bytes.size());
+        std::erase(peer->answered_, stream);
+        if (!answer.bytes.empty()) {
+            peer->answered_.push_back(stream);
+        }
         if (answer.then == Then::Reset) {
             resetOnClose(stream);
         }
@@ -172,6 +186,7 @@
     Script script_;
     std::unique_ptr<evconnlistener, ListenerDeleter> listener_;
     std::vector<StreamPtr> streams_;
+    std::vector<bufferevent *> answered_;
     std::vector<bufferevent *> closing_; ///< To be closed once their answer is written.
     int connections_ = 0;
     int requests_ = 0;
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -49,6 +49,7 @@
     std::uint32_t group = 0; ///< Endpoints that were seen to refuse for one another's sake; 0: none seen.
     BootTime refusesUntil; ///< Its group does not run; the epoch if it does as far as is known.
     bool isSilent = false; ///< It gave no sign of life when it was asked for one; taken only if there is no other.
+    BootTime begunSentAt; ///< When the latest sent of the requests was sent whose answers have begun.
     BootTime heardAt; ///< When something last came from it, or the first of the requests in progress there was sent.
 
     bool takesWork() const
