forward, routing: few streams wait at an endpoint before they have begun; endpoints out of reach are the last choice

Callers that had waited two seconds in an overloaded endpoint's queue left; if its instance stood still just then, all of them went on being worked on there, and nobody could recall them.

Cause: an entry sent whatever came to endpoints whose places were all taken. Now all entries together keep at most a quarter of an endpoint's places, each at least one stream, sent ahead of those that have begun; the others wait in the entry, where their leaving costs nothing, and are refused as the others without a place. A stream is stuck, and is sent elsewhere, if one that was sent a second later has begun anywhere in the service. An endpoint out of reach counted as heard as soon as a request was sent to it, and was chosen among endpoints that are merely avoided; it is now taken only if there is no other.

--- a/libs/forward/src/forwardcore.h
+++ b/libs/forward/src/forwardcore.h
@@ -94,12 +94,14 @@
         if (found != places.end()) {
             return *found->second;
         }
-        return *places.emplace(service, std::make_unique<PlaceQueue>(loop)).first->second;
+        auto hasOpening = [this, name = std::string(service)] { return endpoints.hasOpening(name); };
+        return *places.emplace(service, std::make_unique<PlaceQueue>(loop, std::move(hasOpening))).first->second;
     }
 
     void setInstances(std::size_t instances)
     {
         options.retries.instances = instances;
+        endpoints.setInstances(instances);
         for (auto &[service, allowance] : allowances) {
             allowance.setInstances(instances);
         }
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -51,6 +51,9 @@
 
 constexpr Duration PatienceRecheck{100};
 
+// Endpoints differ in how long requests wait there; one that is overtaken by so much is stuck.
+constexpr Duration OvertakenBy{1000};
+
 // For a request that may run at most once only a connection is used that the endpoint is not likely to be closing just
 // now: if it were, nobody could tell whether the request ran.
 constexpr Duration LongestIdleAtMostOnce{1000};
@@ -353,6 +356,8 @@
     endpoint->suspects += isSuspect() ? 1 : 0;
     places_->began();
     if (route_->kind == RouteKind::Stream) {
+        isUnbegun_ = true;
+        ++endpoint->unbegun;
         core_.silence.began(endpoint, this, [moving = weak_from_this()] {
             if (const auto self = moving.lock()) {
                 (void)self->moveFromSilent("endpoint silent");
@@ -435,7 +440,7 @@
                                 .isAnswering = call_->hasAnswer(),
                                 .took = now - sentAt_,
                                 .silence = now - heardAt_,
-                                .endpointSilence = now - endpoint_->heardAt,
+                                .endpointSilence = now - endpoint_->silentSince(),
                                 .serviceSilence = now - core_.endpoints.serviceHeardAt(service_),
                                 .alongside = endpoint_->inFlight});
 }
@@ -507,7 +512,8 @@
         }
     }
     incoming_.head = head;
-    endpoint_->begunSentAt = std::max(endpoint_->begunSentAt, sentAt_);
+    noteBegun();
+    core_.endpoints.begun(*endpoint_, sentAt_);
     if (isSuccess(head.status)) {
         core_.endpoints.groupAnswered(*endpoint_);
         core_.served(service_);
@@ -787,16 +793,19 @@
 }
 
 /**
- * A request for which nothing comes for long either waits with all others of its endpoint, and would wait anew elsewhere, or it alone is stuck.
+ * A request for which nothing comes for long either waits with all others, and would wait anew elsewhere, or it alone is stuck.
  *
- * @return true if its endpoint went on with others. Whether the endpoint is out of reach is for the watch to find.
+ * @return true if others went on without it. Whether the endpoint is out of reach is for the watch to find.
  */
 bool Forwarding::isLeftBehind() const
 {
     if (route_->kind != RouteKind::Stream || !core_.silence.isEnabled()) {
         return true;
     }
-    return call_->hasAnswer() ? endpoint_->heardAt > heardAt_ : endpoint_->begunSentAt > sentAt_;
+    if (call_->hasAnswer()) {
+        return endpoint_->heardAt > heardAt_;
+    }
+    return endpoint_->begunSentAt > sentAt_ || core_.endpoints.serviceBegunSentAt(service_) > sentAt_ + OvertakenBy;
 }
 
 /** Sends it elsewhere, since nothing comes from the endpoint. @return false if that is not allowed. */
@@ -849,6 +858,13 @@
     }
 }
 
+void Forwarding::noteBegun()
+{
+    if (std::exchange(isUnbegun_, false)) {
+        --endpoint_->unbegun;
+    }
+}
+
 void Forwarding::endCall(routing::EndpointSign sign)
 {
     const auto call = std::exchange(call_, nullptr);
@@ -857,6 +873,7 @@
     }
     call->cancel();
     core_.silence.ended(endpoint_->record.id, this);
+    noteBegun();
     timer_.stop();
     --endpoint_->inFlight;
     endpoint_->suspects -= isSuspect() ? 1 : 0;
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -100,6 +100,7 @@
 
     // Ends.
     void timerFired();
+    void noteBegun();
     bool isLeftBehind() const;
     bool moveFromSilent(std::string_view cause);
     void startTimer();
@@ -137,6 +138,7 @@
 
     Sendings sendings_;
     RequestSpans spans_;
+    bool isUnbegun_ = false; ///< The call in progress is a stream whose answer has not begun.
     bool mayHaveRun_ = false;
     bool hasRetried_ = false;
     bool isResending_ = false; ///< The next sending has to be within the retry budget.
--- a/libs/forward/src/placequeue.h
+++ b/libs/forward/src/placequeue.h
@@ -29,12 +29,13 @@
 public:
     using Wake = std::function<void()>; ///< Called when there is room; one that does not want it any more does nothing.
 
-    explicit PlaceQueue(event_base *loop) : timer_(loop, [this] { wake(); }) {}
+    /** @param hasOpening whether an endpoint can be sent one more. */
+    PlaceQueue(event_base *loop, std::function<bool()> hasOpening) : timer_(loop, [this] { wake(); }), hasOpening_(std::move(hasOpening)) {}
 
     /** For one that has not waited: there is a place, and nobody waits for it. */
     bool hasRoom(BootTime now) const
     {
-        return waiting_.empty() && limit_.hasRoom(inProgress_, now);
+        return waiting_.empty() && limit_.hasRoom(inProgress_, now) && hasOpening_();
     }
 
     void wait(routing::Priority priority, BootTime since, Wake wake)
@@ -75,7 +76,7 @@
 
     void wake()
     {
-        while (!waiting_.empty() && limit_.hasRoom(inProgress_, BootClock::now())) {
+        while (!waiting_.empty() && limit_.hasRoom(inProgress_, BootClock::now()) && hasOpening_()) {
             const Wake first = std::move(waiting_.begin()->second);
             waiting_.erase(waiting_.begin());
             first();
@@ -86,6 +87,7 @@
     }
 
     http::Timer timer_;
+    std::function<bool()> hasOpening_;
     routing::ConcurrencyLimit limit_{{}};
     std::multimap<BootTime, Wake> waiting_; ///< By the time from which on it counts as waiting.
     std::size_t inProgress_ = 0;
--- a/libs/forward/src/silencewatch.cpp
+++ b/libs/forward/src/silencewatch.cpp
@@ -12,7 +12,7 @@
 {
 
 // Callers abandon a stream after two seconds without an event at the earliest. The check and the first event elsewhere have to fit in.
-constexpr Duration SilenceBesidePeers{400};
+constexpr Duration SilenceBesidePeers{300};
 constexpr Duration SilenceOfAll{1000};
 
 // Two words further apart than this are of different passes of a group.
@@ -109,9 +109,9 @@
     if (endpoint.isSilent) {
         return now - watched.checkedAt >= RecheckInterval;
     }
-    const bool othersSpoke = endpoints_.serviceHeardAt(endpoint.record.service) > endpoint.heardAt + SamePass;
+    const bool othersSpoke = endpoints_.serviceHeardAt(endpoint.record.service) > endpoint.silentSince() + SamePass;
     const Duration patience = othersSpoke ? SilenceBesidePeers : SilenceOfAll;
-    return now - endpoint.heardAt >= patience && now - watched.checkedAt >= CheckInterval;
+    return now - endpoint.silentSince() >= patience && now - watched.checkedAt >= CheckInterval;
 }
 
 void SilenceWatch::check(Watched &watched, BootTime now)
@@ -155,7 +155,7 @@
         log()->warn("Endpoint does not answer id={} address={} silent_ms={} service_silent_ms={} in_progress={}",
                     endpoint.record.id,
                     endpoint.record.address,
-                    milliseconds(now - endpoint.heardAt),
+                    milliseconds(now - endpoint.silentSince()),
                     milliseconds(now - endpoints_.serviceHeardAt(endpoint.record.service)),
                     endpoint.inFlight);
     }
@@ -177,7 +177,8 @@
     endpoint.failures = 0;
     endpoint.avoidUntil = {};
     metrics_.silentEndpoints.add(-1);
-    log()->info("Endpoint answers again id={} address={} silent_ms={}", endpoint.record.id, endpoint.record.address, milliseconds(now - endpoint.heardAt));
+    log()->info(
+        "Endpoint answers again id={} address={} silent_ms={}", endpoint.record.id, endpoint.record.address, milliseconds(now - endpoint.silentSince()));
 }
 
 } // namespace magnolia::forward
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -5,6 +5,7 @@
 #include "base/random.h"
 #include "routing/routetable.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <span>
@@ -40,6 +41,7 @@
     EndpointRecord record;
     bool isGone = false; ///< It left the list; whoever still holds it sends it nothing new.
     std::uint32_t inFlight = 0; ///< Sent by this entry and not ended.
+    std::uint32_t unbegun = 0; ///< Of these, streams whose answers have not begun.
     std::uint32_t suspects = 0; ///< Of these, requests under which endpoints ended.
     LoadReport load;
     std::uint32_t ownAtReport = 0; ///< inFlight when that report came.
@@ -50,12 +52,19 @@
     BootTime refusesUntil; ///< Its group does not run; the epoch if it does as far as is known.
     bool isSilent = false; ///< It gave no sign of life when it was asked for one; taken only if there is no other.
     BootTime begunSentAt; ///< When the latest sent of the requests was sent whose answers have begun.
-    BootTime heardAt; ///< When something last came from it, or the first of the requests in progress there was sent.
+    BootTime heardAt; ///< When something last came from it.
+    BootTime awaitedSince; ///< When the first of the requests in progress there was sent.
 
     bool takesWork() const
     {
         return !record.isLeaving && !isGone;
     }
+
+    /** @return since when something from it has been waited for; only with a request in progress there. */
+    BootTime silentSince() const
+    {
+        return std::max(heardAt, awaitedSince);
+    }
 };
 
 using EndpointPointer = std::shared_ptr<Endpoint>;
@@ -99,6 +108,12 @@
 
     explicit EndpointTable(Options options);
 
+    /** @param instances entries that send to the same endpoints, this one included. */
+    void setInstances(std::size_t instances)
+    {
+        instances_ = instances;
+    }
+
     /**
      * Adds an endpoint or replaces what is known of it. One that has started again under its id is another endpoint: load,
      * failures and group of its earlier run say nothing of it. An entry of an earlier run than the known one is late, and left out.
@@ -127,12 +142,21 @@
     /** It answered a request, so its group runs. @return true if that was in doubt. */
     bool groupAnswered(Endpoint &endpoint);
 
+    /** @return false if no endpoint of the service is to be sent one more stream before one there has begun. */
+    bool hasOpening(std::string_view service) const;
+
     /** Something came from it. */
     void heard(Endpoint &endpoint, BootTime now);
 
     /** @return when something last came from any endpoint of the service; the epoch if nothing has. */
     BootTime serviceHeardAt(std::string_view service) const;
 
+    /** The answer to a request has begun. @param sentAt when that was sent. */
+    void begun(Endpoint &endpoint, BootTime sentAt);
+
+    /** @return when the latest sent of the requests to the service was sent whose answers have begun; the epoch if none has. */
+    BootTime serviceBegunSentAt(std::string_view service) const;
+
     static void reported(Endpoint &endpoint, const LoadReport &load, BootTime now);
     static void signSeen(Endpoint &endpoint, EndpointSign sign, BootTime now);
 
@@ -140,14 +164,30 @@
     static double expectedLoad(const Endpoint &endpoint, BootTime now);
 
 private:
+    /** In this order: one that is taken with more of it is taken only if there is no other. */
+    enum class Reluctance : std::uint8_t {
+        None,
+        Avoided, ///< It failed lately, has enough to begin, or is kept apart from such requests.
+        OutOfReach,
+    };
+
+    struct ServiceSigns {
+        BootTime heardAt;
+        BootTime begunSentAt;
+    };
+
+    ServiceSigns &signsOf(std::string_view service);
+    bool hasShareUnbegun(const Endpoint &endpoint) const;
+    Reluctance reluctanceTo(const Endpoint &endpoint, const ChoiceRequest &request, BootTime now) const;
     double cost(const Endpoint &endpoint, BootTime now) const;
     void joinGroups(std::string_view service, std::uint32_t one, std::uint32_t other);
     void markGroup(Endpoint &endpoint, BootTime until);
 
     Options options_;
+    std::size_t instances_ = 1;
     TextMap<EndpointPointer> byId_;
     TextMap<std::vector<EndpointPointer>> byService_;
-    TextMap<BootTime> heardAt_; ///< By service.
+    TextMap<ServiceSigns> signs_; ///< By service.
     std::uint32_t lastGroup_ = 0;
     TextMap<std::uint32_t> groupsByFault_; ///< By the address that refusals named, which may have left the list.
 };
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -35,6 +35,10 @@
 // refused request for each entry and time.
 constexpr Duration GroupPause{200};
 
+// Part of an endpoint's places that all entries together may fill with streams that have not begun: the next ones begin without a gap, and few wait
+// where nobody can recall them once the endpoint is out of reach.
+constexpr std::uint32_t UnbegunParts = 4;
+
 double seconds(BootClock::duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -100,25 +104,41 @@
     return found == byService_.end() ? std::span<const EndpointPointer>() : std::span<const EndpointPointer>(found->second);
 }
 
+bool EndpointTable::hasShareUnbegun(const Endpoint &endpoint) const
+{
+    const std::size_t share = endpoint.record.slots / (UnbegunParts * std::max<std::size_t>(instances_, 1));
+    return endpoint.unbegun >= std::max<std::size_t>(share, 1);
+}
+
+EndpointTable::Reluctance EndpointTable::reluctanceTo(const Endpoint &endpoint, const ChoiceRequest &request, BootTime now) const
+{
+    if (endpoint.isSilent) {
+        return Reluctance::OutOfReach;
+    }
+    const bool meetsSuspect = request.isSuspect && endpoint.suspects > 0;
+    const bool isAvoided = now < std::max(endpoint.avoidUntil, endpoint.refusesUntil);
+    const bool isBehind = hasShareUnbegun(endpoint);
+    return meetsSuspect || isAvoided || isBehind ? Reluctance::Avoided : Reluctance::None;
+}
+
 EndpointPointer EndpointTable::choose(const ChoiceRequest &request, BootTime now, Random &random) const
 {
     std::uniform_real_distribution<double> drawn(0, RandomPart);
     EndpointPointer best;
+    Reluctance bestReluctance = Reluctance::None;
     double bestCost = 0;
-    bool isBestAvoided = true;
     for (const EndpointPointer &endpoint : ofService(request.service)) {
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), endpoint->record.id) != request.tried.end();
         if (isTried || !endpoint->takesWork()) {
             continue;
         }
-        const bool meetsSuspect = request.isSuspect && endpoint->suspects > 0;
-        const bool isAvoided = endpoint->isSilent || meetsSuspect || now < std::max(endpoint->avoidUntil, endpoint->refusesUntil);
+        const Reluctance reluctance = reluctanceTo(*endpoint, request, now);
         const double itsCost = cost(*endpoint, now) + drawn(random);
-        const bool isBetter = best == nullptr || (isBestAvoided && !isAvoided) || (isBestAvoided == isAvoided && itsCost < bestCost);
+        const bool isBetter = best == nullptr || reluctance < bestReluctance || (reluctance == bestReluctance && itsCost < bestCost);
         if (isBetter) {
             best = endpoint;
+            bestReluctance = reluctance;
             bestCost = itsCost;
-            isBestAvoided = isAvoided;
         }
     }
     return best;
@@ -155,7 +175,7 @@
         markGroup(endpoint, now + GroupPause);
     }
     if (endpoint.inFlight == 0) {
-        endpoint.heardAt = now;
+        endpoint.awaitedSince = now;
     }
 }
 
@@ -191,21 +211,42 @@
     }
 }
 
+bool EndpointTable::hasOpening(std::string_view service) const
+{
+    const auto endpoints = ofService(service);
+    const auto isOpen = [this](const EndpointPointer &endpoint) { return endpoint->takesWork() && !endpoint->isSilent && !hasShareUnbegun(*endpoint); };
+    return endpoints.empty() || std::any_of(endpoints.begin(), endpoints.end(), isOpen);
+}
+
 void EndpointTable::heard(Endpoint &endpoint, BootTime now)
 {
     endpoint.heardAt = now;
-    const auto found = heardAt_.find(endpoint.record.service);
-    if (found == heardAt_.end()) {
-        heardAt_.emplace(endpoint.record.service, now);
-    } else {
-        found->second = now;
-    }
+    signsOf(endpoint.record.service).heardAt = now;
+}
+
+void EndpointTable::begun(Endpoint &endpoint, BootTime sentAt)
+{
+    endpoint.begunSentAt = std::max(endpoint.begunSentAt, sentAt);
+    ServiceSigns &signs = signsOf(endpoint.record.service);
+    signs.begunSentAt = std::max(signs.begunSentAt, sentAt);
+}
+
+EndpointTable::ServiceSigns &EndpointTable::signsOf(std::string_view service)
+{
+    const auto found = signs_.find(service);
+    return found == signs_.end() ? signs_.emplace(service, ServiceSigns{}).first->second : found->second;
 }
 
 BootTime EndpointTable::serviceHeardAt(std::string_view service) const
 {
-    const auto found = heardAt_.find(service);
-    return found == heardAt_.end() ? BootTime() : found->second;
+    const auto found = signs_.find(service);
+    return found == signs_.end() ? BootTime() : found->second.heardAt;
+}
+
+BootTime EndpointTable::serviceBegunSentAt(std::string_view service) const
+{
+    const auto found = signs_.find(service);
+    return found == signs_.end() ? BootTime() : found->second.begunSentAt;
 }
 
 void EndpointTable::reported(Endpoint &endpoint, const LoadReport &load, BootTime now)
