forward, routing: what an endpoint states that it takes is kept by all entries together

An endpoint in need was sent 16 requests in 4 s where it takes one a second (11 are allowed).

Cause: no part of the product read what an endpoint says of its rate; entries sent by load.

StatedLimit is an entry's share: it may send one request at moments drawn at random, so that those of all entries are a Poisson process of half the stated rate, whatever their number and without a word among them; a moment that passes unused is lost. Shares of a whole request each, saved up, would already be 39 in 4 s at 35 entries. First and second sendings pass the same choice; an endpoint with a limit is not checked for silence, since that would count. A value that can't be read, negative or infinite, changes nothing and is logged; 0 is asked for now and then.

--- a/libs/forward/include/forward/protocol.h
+++ b/libs/forward/include/forward/protocol.h
@@ -31,6 +31,7 @@
     std::string notRun = "X-Not-Run"; ///< In an endpoint's answer: the request did not run and never will.
     std::string answerProof = "X-Answer-Proof"; ///< An endpoint's; a success counts only with it.
     std::string load = "X-Load"; ///< In an endpoint's answer.
+    std::string rateLimit = "X-Rate-Limit"; ///< In an endpoint's answer: requests a second that it takes from all instances together.
     std::string endpointAtFault = "X-At-Fault"; ///< In a refusal: id of the endpoint that caused it.
     std::string priority = "X-Priority";
     std::string lastEventId = "Last-Event-Id";
--- a/libs/forward/src/forwardcore.h
+++ b/libs/forward/src/forwardcore.h
@@ -94,7 +94,7 @@
         if (found != places.end()) {
             return *found->second;
         }
-        auto hasOpening = [this, name = std::string(service)] { return endpoints.hasOpening(name); };
+        auto hasOpening = [this, name = std::string(service)] { return endpoints.hasOpening(name, BootClock::now(), random); };
         return *places.emplace(service, std::make_unique<PlaceQueue>(loop, std::move(hasOpening))).first->second;
     }
 
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <random>
 #include <utility>
 
@@ -106,6 +107,15 @@
     return isNumber ? std::optional(number) : std::nullopt;
 }
 
+/** @return requests a second; nothing if it is no number, or less than none. */
+std::optional<double> rateOf(std::string_view text)
+{
+    double rate = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), rate);
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() && !text.empty();
+    return isNumber && std::isfinite(rate) && rate >= 0 ? std::optional(rate) : std::nullopt;
+}
+
 } // namespace
 
 Forwarding::Forwarding(ForwardCore &core, AnswerSink &sink, CallerMessage request)
@@ -331,7 +341,7 @@
 
 void Forwarding::send(const routing::EndpointPointer &endpoint)
 {
-    core_.endpoints.sendingTo(*endpoint, BootClock::now());
+    core_.endpoints.sendingTo(*endpoint, BootClock::now(), core_.random);
     sendings_.began(endpoint->record.id);
     ordinal_ = core_.crashes.nextOrdinal(fingerprint_);
     endpoint_ = endpoint;
@@ -511,6 +521,7 @@
             places_->limit().reported(*load, heardAt_);
         }
     }
+    noteLimit(head);
     incoming_.head = head;
     noteBegun();
     core_.endpoints.begun(*endpoint_, sentAt_);
@@ -525,6 +536,22 @@
     }
 }
 
+void Forwarding::noteLimit(const http::MessageHead &head)
+{
+    if (head.status == StatusMisdirected) {
+        return; // Another endpoint may have answered at that address.
+    }
+    const std::string *stated = head.headers.find(core_.options.protocol.rateLimit);
+    const auto perSecond = stated != nullptr ? rateOf(*stated) : std::nullopt;
+    if (stated != nullptr && !perSecond) {
+        core_.log.limitUnreadable(endpoint_->record.id, *stated);
+        return;
+    }
+    if (core_.endpoints.limitStated(*endpoint_, perSecond, heardAt_, core_.random)) {
+        core_.log.limitStated(endpoint_->record.id, perSecond);
+    }
+}
+
 void Forwarding::bodyCame(std::string_view piece)
 {
     const auto self = shared_from_this();
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -90,6 +90,7 @@
 
     // Answers.
     void headCame(http::MessageHead &head);
+    void noteLimit(const http::MessageHead &head);
     void bodyCame(std::string_view piece);
     void callEnded(CallEnd end);
     void wholeAnswerCame();
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -89,6 +89,25 @@
                 record.alongside);
 }
 
+void RequestLog::limitStated(std::string_view endpoint, std::optional<double> perSecond)
+{
+    if (!mayWrite()) {
+        return;
+    }
+    if (perSecond) {
+        log()->info("Endpoint states a limit id={} per_second={:.3f}", endpoint, *perSecond);
+    } else {
+        log()->info("Endpoint states no limit any more id={}", endpoint);
+    }
+}
+
+void RequestLog::limitUnreadable(std::string_view endpoint, std::string_view text)
+{
+    if (mayWrite()) {
+        log()->warn("Limit can't be read id={} text={}", endpoint, text);
+    }
+}
+
 void RequestLog::limited(std::string_view service, BootClock::duration pause, std::size_t inProgress, double limit)
 {
     if (!mayWrite()) {
--- a/libs/forward/src/requestlog.h
+++ b/libs/forward/src/requestlog.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -76,6 +77,10 @@
 
     void sendingCancelled(const CancelRecord &record);
 
+    /** @param perSecond from now on; nothing: it states no limit any more. */
+    void limitStated(std::string_view endpoint, std::optional<double> perSecond);
+    void limitUnreadable(std::string_view endpoint, std::string_view text);
+
     /** Fewer streams of a service are let in from now on. */
     void limited(std::string_view service, BootClock::duration pause, std::size_t inProgress, double limit);
 
--- a/libs/forward/src/silencewatch.cpp
+++ b/libs/forward/src/silencewatch.cpp
@@ -109,6 +109,9 @@
     if (endpoint.isSilent) {
         return now - watched.checkedAt >= RecheckInterval;
     }
+    if (endpoint.limit.isStated()) {
+        return false; // A check would count against it.
+    }
     const bool othersSpoke = endpoints_.serviceHeardAt(endpoint.record.service) > endpoint.silentSince() + SamePass;
     const Duration patience = othersSpoke ? SilenceBesidePeers : SilenceOfAll;
     return now - endpoint.silentSince() >= patience && now - watched.checkedAt >= CheckInterval;
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -4,10 +4,12 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "routing/routetable.h"
+#include "routing/statedlimit.h"
 
 #include <algorithm>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -43,6 +45,7 @@
     std::uint32_t inFlight = 0; ///< Sent by this entry and not ended.
     std::uint32_t unbegun = 0; ///< Of these, streams whose answers have not begun.
     std::uint32_t suspects = 0; ///< Of these, requests under which endpoints ended.
+    StatedLimit limit;
     LoadReport load;
     std::uint32_t ownAtReport = 0; ///< inFlight when that report came.
     BootTime reportedAt;
@@ -121,9 +124,12 @@
     void put(const EndpointRecord &record);
     void remove(std::string_view id);
 
-    /** @return null if no endpoint of the service takes work, or all have been tried. */
+    /** @return null if no endpoint of the service takes work now, or all have been tried. */
     EndpointPointer choose(const ChoiceRequest &request, BootTime now, Random &random) const;
 
+    /** It states what it takes from all entries together; nothing: no limit. @return true if that is news. */
+    bool limitStated(Endpoint &endpoint, std::optional<double> perSecond, BootTime now, Random &random) const;
+
     EndpointPointer find(std::string_view id) const;
 
     /** All endpoints of a service that are known, in no order. */
@@ -137,13 +143,13 @@
     void refusedForPeer(Endpoint &endpoint, std::string_view peerAddress, BootTime now);
 
     /** A request is sent there; if its group is in doubt, the others wait for what becomes of this one. */
-    void sendingTo(Endpoint &endpoint, BootTime now);
+    void sendingTo(Endpoint &endpoint, BootTime now, Random &random);
 
     /** It answered a request, so its group runs. @return true if that was in doubt. */
     bool groupAnswered(Endpoint &endpoint);
 
     /** @return false if no endpoint of the service is to be sent one more stream before one there has begun. */
-    bool hasOpening(std::string_view service) const;
+    bool hasOpening(std::string_view service, BootTime now, Random &random) const;
 
     /** Something came from it. */
     void heard(Endpoint &endpoint, BootTime now);
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -129,7 +129,7 @@
     double bestCost = 0;
     for (const EndpointPointer &endpoint : ofService(request.service)) {
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), endpoint->record.id) != request.tried.end();
-        if (isTried || !endpoint->takesWork()) {
+        if (isTried || !endpoint->takesWork() || !endpoint->limit.mayUse(instances_, now, random)) {
             continue;
         }
         const Reluctance reluctance = reluctanceTo(*endpoint, request, now);
@@ -169,8 +169,9 @@
     markGroup(endpoint, now + GroupPause);
 }
 
-void EndpointTable::sendingTo(Endpoint &endpoint, BootTime now)
+void EndpointTable::sendingTo(Endpoint &endpoint, BootTime now, Random &random)
 {
+    endpoint.limit.use(instances_, now, random);
     if (endpoint.refusesUntil != BootTime()) {
         markGroup(endpoint, now + GroupPause);
     }
@@ -211,10 +212,17 @@
     }
 }
 
-bool EndpointTable::hasOpening(std::string_view service) const
+bool EndpointTable::limitStated(Endpoint &endpoint, std::optional<double> perSecond, BootTime now, Random &random) const
+{
+    return perSecond ? endpoint.limit.state(*perSecond, instances_, now, random) : endpoint.limit.lift();
+}
+
+bool EndpointTable::hasOpening(std::string_view service, BootTime now, Random &random) const
 {
     const auto endpoints = ofService(service);
-    const auto isOpen = [this](const EndpointPointer &endpoint) { return endpoint->takesWork() && !endpoint->isSilent && !hasShareUnbegun(*endpoint); };
+    const auto isOpen = [&](const EndpointPointer &endpoint) {
+        return endpoint->takesWork() && !endpoint->isSilent && !hasShareUnbegun(*endpoint) && endpoint->limit.mayUse(instances_, now, random);
+    };
     return endpoints.empty() || std::any_of(endpoints.begin(), endpoints.end(), isOpen);
 }
 
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -177,7 +177,7 @@
     table.refusedForPeer(*table.find("c"), "b:80", Now);
     const auto endpoint = table.choose({.service = "s"}, Now, random);
     BOOST_TEST((endpoint->refusesUntil > Now));
-    table.sendingTo(*endpoint, Now + 1s);
+    table.sendingTo(*endpoint, Now + 1s, random);
     BOOST_TEST((table.find("a")->refusesUntil > Now + 1s)); // One is tried, the others wait.
     BOOST_TEST(table.groupAnswered(*table.find("c")));
     BOOST_TEST(!table.groupAnswered(*table.find("a")));
