forward, routing: a service without a working endpoint has nothing to wait for; silent endpoints that leave are not counted

Found on reading: streams of a service whose endpoints all leave would have waited a fifth of a second for one to have room before they were refused, and the gauge of silent endpoints kept those that left while silent.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -793,7 +793,7 @@
     }
     if (waiting_ == Waiting::ForPlace && now >= waitingEnds_) {
         core_.metrics.withoutPlace.add();
-        refuse(StatusUnavailable, RetryAfterFull, "its service has as many streams in progress as stay in time");
+        refuse(StatusUnavailable, RetryAfterFull, "its service has as many streams in progress, or yet to begin, as stay in time");
         return;
     }
     if (waiting_ == Waiting::ForNews && now >= waitingEnds_) {
--- a/libs/forward/src/silencewatch.cpp
+++ b/libs/forward/src/silencewatch.cpp
@@ -55,6 +55,7 @@
     }
     Watched &watched = watched_[endpoint->record.id];
     if (watched.endpoint != endpoint) {
+        forget(watched);
         watched = {.endpoint = endpoint, .owners = {}, .client = nullptr, .checkedAt = {}, .isChecking = false};
     }
     watched.owners[owner] = std::move(silent);
@@ -72,7 +73,13 @@
 {
     const BootTime now = BootClock::now();
     noteDelay(now);
-    std::erase_if(watched_, [this](const auto &entry) { return isIdle(entry.second); });
+    std::erase_if(watched_, [this](auto &entry) {
+        const bool isOver = isIdle(entry.second);
+        if (isOver) {
+            forget(entry.second);
+        }
+        return isOver;
+    });
     for (auto &[id, watched] : watched_) {
         if (watched.endpoint->isSilent && watched.endpoint->heardAt > watched.checkedAt) {
             foundAnswering(watched, now);
@@ -94,6 +101,14 @@
     tickedAt_ = now;
 }
 
+/** Of an endpoint that is not watched any more. */
+void SilenceWatch::forget(const Watched &watched)
+{
+    if (watched.endpoint != nullptr && std::exchange(watched.endpoint->isSilent, false)) {
+        metrics_.silentEndpoints.add(-1);
+    }
+}
+
 bool SilenceWatch::isIdle(const Watched &watched) const
 {
     const bool isWanted = !watched.owners.empty() || (watched.endpoint->isSilent && watched.endpoint->takesWork());
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -89,7 +89,9 @@
  * health checks cost its slots. Engines of a group fail together: which they are is learnt from refusals that name another
  * endpoint as the cause, and a group that refused is tried by one request at a time until one is answered. Of
  * the requests under which an endpoint ended one is the cause; they go to different endpoints as far as there are, so that the
- * others' answers clear them. Lives as long as its entry's task. Not thread-safe.
+ * others' answers clear them. An endpoint out of reach is
+ * the last choice, one that states a limit is taken only within it, and only so many streams are sent ahead of those that have begun. Lives as long as its
+ * entry's task. Not thread-safe.
  *
  * @code
  * table.put(record);
@@ -148,7 +150,7 @@
     /** It answered a request, so its group runs. @return true if that was in doubt. */
     bool groupAnswered(Endpoint &endpoint);
 
-    /** @return false if no endpoint of the service is to be sent one more stream before one there has begun. */
+    /** @return false if each endpoint of the service that takes work has enough streams to begin, is out of reach or at its limit. */
     bool hasOpening(std::string_view service, BootTime now, Random &random) const;
 
     /** Something came from it. */
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -219,11 +219,17 @@
 
 bool EndpointTable::hasOpening(std::string_view service, BootTime now, Random &random) const
 {
-    const auto endpoints = ofService(service);
-    const auto isOpen = [&](const EndpointPointer &endpoint) {
-        return endpoint->takesWork() && !endpoint->isSilent && !hasShareUnbegun(*endpoint) && endpoint->limit.mayUse(instances_, now, random);
-    };
-    return endpoints.empty() || std::any_of(endpoints.begin(), endpoints.end(), isOpen);
+    bool hasWorking = false;
+    for (const EndpointPointer &endpoint : ofService(service)) {
+        if (!endpoint->takesWork()) {
+            continue;
+        }
+        hasWorking = true;
+        if (!endpoint->isSilent && !hasShareUnbegun(*endpoint) && endpoint->limit.mayUse(instances_, now, random)) {
+            return true;
+        }
+    }
+    return !hasWorking; // Then there is nothing to wait for.
 }
 
 void EndpointTable::heard(Endpoint &endpoint, BootTime now)
