--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -99,9 +99,11 @@
     return sign == EndpointSign::Unreachable ? "unreachable" : "";
 }
 
-std::optional<std::uint64_t> numberOf(std::string_view text)
+/** @return nothing if the text is anything but one number. */
+template<typename Number>
+std::optional<Number> numberOf(std::string_view text)
 {
-    std::uint64_t number = 0;
+    Number number = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
     const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() && !text.empty();
     return isNumber ? std::optional(number) : std::nullopt;
@@ -110,10 +112,8 @@
 /** @return requests a second; nothing if it is no number, or less than none. */
 std::optional<double> rateOf(std::string_view text)
 {
-    double rate = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), rate);
-    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() && !text.empty();
-    return isNumber && std::isfinite(rate) && rate >= 0 ? std::optional(rate) : std::nullopt;
+    const auto rate = numberOf<double>(text);
+    return rate && std::isfinite(*rate) && *rate >= 0 ? rate : std::nullopt;
 }
 
 } // namespace
@@ -170,7 +170,7 @@
     }
     pickService();
     core_.allowanceOf(service_).requestCame(BootClock::now());
-    if (const auto resumed = numberOf(request_.head.headers.value(core_.options.protocol.lastEventId))) {
+    if (const auto resumed = numberOf<std::uint64_t>(request_.head.headers.value(core_.options.protocol.lastEventId))) {
         cutter_.startAfter(*resumed);
     }
     takePlace();
@@ -286,7 +286,7 @@
 
 void Forwarding::setDeadline()
 {
-    const auto stated = numberOf(request_.head.headers.value(core_.options.protocol.deadline));
+    const auto stated = numberOf<std::uint64_t>(request_.head.headers.value(core_.options.protocol.deadline));
     const Duration allowed = stated ? Duration(*stated) : UsualDeadline;
     deadline_ = request_.receivedAt + std::max(allowed - DeadlineMargin, Duration(0));
     waitUntil_ = request_.receivedAt + std::min(LongestWait, allowed / PartsWaited);
--- a/libs/forward/src/silencewatch.cpp
+++ b/libs/forward/src/silencewatch.cpp
@@ -55,7 +55,7 @@
     }
     Watched &watched = watched_[endpoint->record.id];
     if (watched.endpoint != endpoint) {
-        forget(watched);
+        (void)unmarkSilent(watched);
         watched = {.endpoint = endpoint, .owners = {}, .client = nullptr, .checkedAt = {}, .isChecking = false};
     }
     watched.owners[owner] = std::move(silent);
@@ -76,7 +76,7 @@
     std::erase_if(watched_, [this](auto &entry) {
         const bool isOver = isIdle(entry.second);
         if (isOver) {
-            forget(entry.second);
+            (void)unmarkSilent(entry.second);
         }
         return isOver;
     });
@@ -101,12 +101,14 @@
     tickedAt_ = now;
 }
 
-/** Of an endpoint that is not watched any more. */
-void SilenceWatch::forget(const Watched &watched)
+/** @return true if it was marked. */
+bool SilenceWatch::unmarkSilent(const Watched &watched)
 {
-    if (watched.endpoint != nullptr && std::exchange(watched.endpoint->isSilent, false)) {
+    const bool wasSilent = watched.endpoint != nullptr && std::exchange(watched.endpoint->isSilent, false);
+    if (wasSilent) {
         metrics_.silentEndpoints.add(-1);
     }
+    return wasSilent;
 }
 
 bool SilenceWatch::isIdle(const Watched &watched) const
@@ -188,13 +190,12 @@
 
 void SilenceWatch::foundAnswering(Watched &watched, BootTime now)
 {
-    routing::Endpoint &endpoint = *watched.endpoint;
-    if (!std::exchange(endpoint.isSilent, false)) {
+    if (!unmarkSilent(watched)) {
         return;
     }
+    routing::Endpoint &endpoint = *watched.endpoint;
     endpoint.failures = 0;
     endpoint.avoidUntil = {};
-    metrics_.silentEndpoints.add(-1);
     log()->info(
         "Endpoint answers again id={} address={} silent_ms={}", endpoint.record.id, endpoint.record.address, milliseconds(now - endpoint.silentSince()));
 }
--- a/libs/forward/src/silencewatch.h
+++ b/libs/forward/src/silencewatch.h
@@ -55,7 +55,7 @@
 
     void tick();
     void noteDelay(BootTime now);
-    void forget(const Watched &watched);
+    bool unmarkSilent(const Watched &watched);
     bool isIdle(const Watched &watched) const;
     bool isDue(const Watched &watched, BootTime now) const;
     void check(Watched &watched, BootTime now);
--- a/libs/forward/tests/silentendpointtest.cpp
+++ b/libs/forward/tests/silentendpointtest.cpp
@@ -92,6 +92,17 @@
         }
     }
 
+    /** Two endpoints, each with a stream in progress. */
+    void beginOneAtEachOfTwo()
+    {
+        addStreaming();
+        addStreaming();
+        call(streamRequest("r1"));
+        runPasses(EventInterval);
+        call(streamRequest("r2"));
+        runPasses(3 * EventInterval);
+    }
+
     int streamsAt(std::size_t endpoint) const
     {
         return served.at(endpoint)->streams;
@@ -108,12 +119,7 @@
 // Guards against streams that wait at an endpoint out of reach until their callers leave, when nobody can cancel them there.
 BOOST_AUTO_TEST_CASE(endpoint_fallsSilentWhileItsPeersSpeak_itsStreamsMoveBeforeTheirCallersLeave)
 {
-    addStreaming();
-    addStreaming();
-    call(streamRequest("r1"));
-    runPasses(EventInterval);
-    call(streamRequest("r2"));
-    runPasses(3 * EventInterval);
+    beginOneAtEachOfTwo();
     BOOST_REQUIRE(streamsAt(0) == 1);
     BOOST_REQUIRE(streamsAt(1) == 1);
     served[0]->isSilent = true;
@@ -124,12 +130,7 @@
 // Guards against new requests being sent to an endpoint that others have found silent.
 BOOST_AUTO_TEST_CASE(endpoint_foundSilent_newStreamsGoElsewhere)
 {
-    addStreaming();
-    addStreaming();
-    call(streamRequest("r1"));
-    runPasses(EventInterval);
-    call(streamRequest("r2"));
-    runPasses(3 * EventInterval);
+    beginOneAtEachOfTwo();
     served[0]->isSilent = true;
     runPasses(MoveBound);
     const int before = streamsAt(0);
@@ -143,12 +144,7 @@
 // Guards against an endpoint that was silent for a while being left out for good.
 BOOST_AUTO_TEST_CASE(endpoint_speaksAgain_isSentNewStreams)
 {
-    addStreaming();
-    addStreaming();
-    call(streamRequest("r1"));
-    runPasses(EventInterval);
-    call(streamRequest("r2"));
-    runPasses(3 * EventInterval);
+    beginOneAtEachOfTwo();
     served[0]->isSilent = true;
     runPasses(MoveBound);
     served[0]->isSilent = false;
@@ -164,12 +160,7 @@
 // Guards against streams that wait for their turn being sent to a second endpoint just before their callers leave.
 BOOST_AUTO_TEST_CASE(stream_waitsForItsTurnAtAnEndpointThatSpeaks_isNotSentTwice)
 {
-    addStreaming();
-    addStreaming();
-    call(streamRequest("r1"));
-    runPasses(EventInterval);
-    call(streamRequest("r2"));
-    runPasses(3 * EventInterval);
+    beginOneAtEachOfTwo();
     served[0]->isFull = true;
     served[1]->isFull = true;
     call(streamRequest("r3"));
