forward, routing: how long each caller stays is known, and logged where a sending is given up

The logs showed neither how long a caller was expected to stay when it left, nor what was known of the endpoint when a request was sent there, so the hypotheses of the incident had to be told apart by hand.

CallerBounds holds the stated deadline, the route's timeout, and for streams the gap after which callers leave. Nothing is decided by the gap yet. 'Sending cancelled' tells stays_ms, ahead (unbegun requests of this instance there when it was sent) and silent_when_sent_ms.

routing_test, forward_test and silent_endpoint_test pass.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -32,11 +32,8 @@
 constexpr int StatusUnavailable = 503;
 constexpr int StatusTimeout = 504;
 
-// A request that states no deadline and whose route has no timeout.
-constexpr Duration UsualDeadline{30000};
-
-// The final answer leaves so long before the caller's deadline, so that it arrives in time.
-constexpr Duration DeadlineMargin{40};
+// Of what a caller states; more can't be reckoned with.
+constexpr Duration LongestStated = std::chrono::hours(24);
 
 // A dialled endpoint in the same region answers within a few milliseconds; a lost packet is sent again after about a
 // second, and by then another endpoint could have answered.
@@ -116,6 +113,16 @@
     return rate && std::isfinite(*rate) && *rate >= 0 ? rate : std::nullopt;
 }
 
+routing::CallerBounds boundsOf(const ForwardCore &core, const CallerMessage &request)
+{
+    const auto stated = numberOf<std::uint64_t>(request.head.headers.value(core.options.protocol.deadline));
+    routing::CallerBounds::Options options{.receivedAt = request.receivedAt};
+    if (stated) {
+        options.stated = Duration(std::min<std::uint64_t>(*stated, LongestStated.count()));
+    }
+    return routing::CallerBounds(options);
+}
+
 } // namespace
 
 Forwarding::Forwarding(ForwardCore &core, AnswerSink &sink, CallerMessage request)
@@ -123,6 +130,8 @@
     , sink_(&sink)
     , request_(std::move(request))
     , requestId_(request_.head.headers.value(core.options.protocol.requestId))
+    , bounds_(boundsOf(core, request_))
+    , waitUntil_(request_.receivedAt + std::min(LongestWait, bounds_.allowed() / PartsWaited))
     , timer_(core.loop, [this] { timerFired(); })
     , spans_(core.options.tracer)
 {
@@ -142,7 +151,6 @@
 {
     const auto self = shared_from_this();
     spans_.begin(request_.head.headers.value(TraceHeader), requestId_);
-    setDeadline();
     admit();
 }
 
@@ -161,10 +169,8 @@
     if (endsAsQuarantined()) {
         return;
     }
-    if (route_->timeout.count() > 0) {
-        deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
-    }
-    if (!core_.takesRequest(BootClock::now(), deadline_)) {
+    bounds_.takeRoute(*route_);
+    if (!core_.takesRequest(BootClock::now(), bounds_.deadline())) {
         refuse(StatusUnavailable, RetryAfterStopping, "this entry is stopping");
         return;
     }
@@ -284,17 +290,9 @@
     isAdmitted ? sendNext() : admit();
 }
 
-void Forwarding::setDeadline()
-{
-    const auto stated = numberOf<std::uint64_t>(request_.head.headers.value(core_.options.protocol.deadline));
-    const Duration allowed = stated ? Duration(*stated) : UsualDeadline;
-    deadline_ = request_.receivedAt + std::max(allowed - DeadlineMargin, Duration(0));
-    waitUntil_ = request_.receivedAt + std::min(LongestWait, allowed / PartsWaited);
-}
-
 BootClock::duration Forwarding::left() const
 {
-    return deadline_ - BootClock::now();
+    return bounds_.deadline() - BootClock::now();
 }
 
 void Forwarding::sendNext()
@@ -348,6 +346,8 @@
     spans_.beginSending(endpoint->record.id);
     sentAt_ = BootClock::now();
     heardAt_ = sentAt_;
+    aheadWhenSent_ = endpoint->unbegun;
+    silenceWhenSent_ = endpoint->inFlight == 0 ? BootClock::duration(0) : sentAt_ - endpoint->silentSince();
     incoming_ = {};
     isStreamAnswer_ = false;
     const bool isAtMostOnce = route_->kind == RouteKind::AtMostOnce;
@@ -449,6 +449,9 @@
                                 .isConnected = call_->isConnected(),
                                 .isAnswering = call_->hasAnswer(),
                                 .took = now - sentAt_,
+                                .stays = bounds_.nextEventDue() - now,
+                                .ahead = aheadWhenSent_,
+                                .silenceWhenSent = silenceWhenSent_,
                                 .silence = now - heardAt_,
                                 .endpointSilence = now - endpoint_->silentSince(),
                                 .serviceSilence = now - core_.endpoints.serviceHeardAt(service_),
@@ -592,6 +595,7 @@
     }
     judgePause();
     ++events_;
+    bounds_.eventSent(heardAt_);
     sink_->sendPiece(events);
     if (sink_ != nullptr && call_ != nullptr && sink_->pendingBytes() > MostPendingBytes) {
         call_->setReading(false);
@@ -759,7 +763,7 @@
 void Forwarding::startTimer()
 {
     const BootTime now = BootClock::now();
-    BootTime next = waiting_ == Waiting::ForNothing ? deadline_ : std::min(deadline_, waitingEnds_);
+    BootTime next = waiting_ == Waiting::ForNothing ? bounds_.deadline() : std::min(bounds_.deadline(), waitingEnds_);
     if (call_ != nullptr) {
         const BootTime bound = patienceEnds();
         // A bound that has passed without effect, e.g. for want of retry budget, is looked at again now and then.
@@ -780,14 +784,14 @@
     if (route_->kind == RouteKind::Idempotent && route_->latencyObjective.count() > 0) {
         return sentAt_ + ObjectivesBeforeRepeat * route_->latencyObjective;
     }
-    return deadline_;
+    return bounds_.deadline();
 }
 
 void Forwarding::timerFired()
 {
     const auto self = shared_from_this();
     const BootTime now = BootClock::now();
-    if (now >= deadline_) {
+    if (now >= bounds_.deadline()) {
         giveUp();
         return;
     }
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -8,6 +8,7 @@
 #include "forwardcore.h"
 #include "http/timer.h"
 #include "requestspans.h"
+#include "routing/callerbounds.h"
 #include "sendings.h"
 
 #include <cstdint>
@@ -67,7 +68,6 @@
     bool isGroupBack() const;
     routing::EndpointPointer nextEndpoint() const;
     void turnAway(const Rejection &rejection);
-    void setDeadline();
 
     // Sendings.
     void sendNext();
@@ -129,7 +129,7 @@
     std::string service_;
     PlaceQueue *places_ = nullptr; ///< Of the service; set once it is known.
     const routing::StepModel *steps_ = nullptr; ///< Of the service's engines; null if it has none. Lives in routes_.
-    BootTime deadline_; ///< The final answer is due by then.
+    routing::CallerBounds bounds_;
     BootTime waitUntil_; ///< News of routes and endpoints is waited for no longer.
     Waiting waiting_ = Waiting::ForNothing;
     BootTime waitingSince_; ///< For a place.
@@ -148,6 +148,8 @@
     routing::EndpointPointer endpoint_; ///< Of the call in progress.
     BootTime sentAt_;
     BootTime heardAt_; ///< When something last came from the endpoint.
+    std::uint32_t aheadWhenSent_ = 0; ///< Unbegun requests of this instance at the endpoint before this one.
+    BootClock::duration silenceWhenSent_{0}; ///< Since something had come from the endpoint while it had requests.
     HeldAnswer incoming_;
     std::optional<HeldAnswer> fallback_; ///< An endpoint's failure, passed on if nothing better comes.
 
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -75,14 +75,17 @@
     if (!mayWrite()) {
         return;
     }
-    log()->info("Sending cancelled id={} endpoint={} cause={} connected={} answering={} took_ms={} silent_ms={} endpoint_silent_ms={} service_silent_ms={} "
-                "alongside={}",
+    log()->info("Sending cancelled id={} endpoint={} cause={} connected={} answering={} took_ms={} stays_ms={} ahead={} silent_when_sent_ms={} silent_ms={} "
+                "endpoint_silent_ms={} service_silent_ms={} alongside={}",
                 record.requestId,
                 record.endpoint,
                 record.cause,
                 record.isConnected,
                 record.isAnswering,
                 milliseconds(record.took),
+                milliseconds(record.stays),
+                record.ahead,
+                milliseconds(record.silenceWhenSent),
                 milliseconds(record.silence),
                 milliseconds(record.endpointSilence),
                 milliseconds(record.serviceSilence),
--- a/libs/forward/src/requestlog.h
+++ b/libs/forward/src/requestlog.h
@@ -56,6 +56,9 @@
     bool isConnected = false;
     bool isAnswering = false; ///< The head of an answer has come.
     BootClock::duration took{}; ///< Since it was sent.
+    BootClock::duration stays{}; ///< For which the caller was still expected to stay; less than 0: it should have left.
+    std::uint32_t ahead = 0; ///< Unbegun requests of this instance there when it was sent.
+    BootClock::duration silenceWhenSent{}; ///< Of the endpoint when it was sent.
     BootClock::duration silence{}; ///< Since something last came for this request.
     BootClock::duration endpointSilence{}; ///< Since something last came from the endpoint for any request of this instance.
     BootClock::duration serviceSilence{}; ///< The same of all endpoints of its service.
--- /dev/null
+++ b/libs/routing/include/routing/callerbounds.h
@@ -0,0 +1,73 @@
+#ifndef MAGNOLIA_ROUTING_CALLERBOUNDS_H
+#define MAGNOLIA_ROUTING_CALLERBOUNDS_H
+
+#include "base/clock.h"
+#include "routing/routingconfig.h"
+
+#include <optional>
+
+namespace magnolia::routing
+{
+
+/** The gap without an event after which callers leave a stream: the longest of the three. */
+struct StreamPatience {
+    Duration shortest{2000};
+    int objectives = 4; ///< Times the route's objective for the first event.
+    int pauses = 8; ///< Times the route's objective for pauses.
+};
+
+/**
+ * Until when an answer still finds the caller of one request.
+ *
+ * A caller leaves at the deadline that it states, at the latest when its route's timeout is over, and leaves a stream also after a gap without an
+ * event, be it the first. All times hold back a margin, so that an answer sent then still arrives. A value type, as long-lived as its request.
+ *
+ * @code
+ * CallerBounds bounds({.receivedAt = now, .stated = Duration(8000)});
+ * bounds.takeRoute(route);
+ * if (now >= bounds.nextEventDue()) { endWithFinalAnswer(); }
+ * @endcode
+ */
+class CallerBounds
+{
+public:
+    struct Options {
+        BootTime receivedAt{}; ///< When the request's first byte came.
+        std::optional<Duration> stated{}; ///< By the caller, from then on.
+        StreamPatience patience{};
+    };
+
+    explicit CallerBounds(const Options &options);
+
+    /** The request's route is known: its timeout holds, and the gap of its streams. */
+    void takeRoute(const Route &route);
+
+    /** An event was sent to the caller: its gap begins anew. */
+    void eventSent(BootTime now);
+
+    /** The whole answer has to be sent by then. */
+    BootTime deadline() const
+    {
+        return deadline_;
+    }
+
+    /** The next event, or whatever else is the answer, has to be sent by then; the deadline if that is sooner. */
+    BootTime nextEventDue() const;
+
+    /** What was stated, or else the usual time. */
+    Duration allowed() const
+    {
+        return allowed_;
+    }
+
+private:
+    Options options_;
+    Duration allowed_;
+    BootTime deadline_;
+    std::optional<Duration> gap_; ///< Of a stream.
+    BootTime gapBegan_;
+};
+
+} // namespace magnolia::routing
+
+#endif
