--- /dev/null
+++ b/libs/forward/tests/callerpatiencetest.cpp
@@ -0,0 +1,131 @@
+#include "silencefixture.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace magnolia::forward
+{
+
+namespace
+{
+
+/** Callers who leave after a gap without an event, and are told so by nobody. */
+struct CallerPatienceFixture : SilenceFixture {
+    struct Waiting {
+        RawCaller *caller = nullptr;
+        std::size_t received = 0;
+        MonoTime heardAt{};
+        bool hasLeft = false; ///< Without an answer.
+    };
+
+    Waiting &callPatiently(std::string_view id)
+    {
+        RawCaller &caller = call(streamRequest(id));
+        waiting.push_back({.caller = &caller, .heardAt = MonoClock::now()});
+        return waiting.back();
+    }
+
+    static bool hasEnded(const Waiting &one)
+    {
+        return one.hasLeft || one.caller->isClosed() || one.caller->received().starts_with("HTTP/1.1 5");
+    }
+
+    /** Lets passes go on for so long while callers come, hear and leave. */
+    void runPatiently(Duration time)
+    {
+        constexpr Duration Look{20};
+        for (Duration gone{0}; gone < time; gone += Look) {
+            runFor(Look);
+            if (gone % EventInterval == Duration(0)) {
+                pass();
+            }
+            std::for_each(waiting.begin(), waiting.end(), &CallerPatienceFixture::look);
+        }
+    }
+
+    static void look(Waiting &one)
+    {
+        if (hasEnded(one)) {
+            return;
+        }
+        if (one.caller->received().size() != one.received) {
+            one.received = one.caller->received().size();
+            one.heardAt = MonoClock::now();
+        } else if (MonoClock::now() - one.heardAt >= CallerPatience) {
+            one.hasLeft = true;
+            one.caller->close();
+        }
+    }
+
+    auto countLeft() const
+    {
+        return std::count_if(waiting.begin(), waiting.end(), [](const Waiting &one) { return one.hasLeft; });
+    }
+
+    std::vector<Waiting> waiting;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CallerPatienceTest, CallerPatienceFixture)
+
+// Guards against streams that wait at an endpoint until their callers leave without a word.
+BOOST_AUTO_TEST_CASE(stream_doesNotBegin_isAnsweredBeforeItsCallerLeaves)
+{
+    addStreaming();
+    call(streamRequest("r1"));
+    runPasses(3 * EventInterval);
+    served[0]->isFull = true;
+    callPatiently("r2");
+    runPatiently(CallerPatience + EventInterval);
+    BOOST_TEST(countLeft() == 0);
+    BOOST_TEST(waiting[0].caller->received().starts_with("HTTP/1.1 504"));
+}
+
+// Guards against streams that have begun being kept at an endpoint out of reach until their callers leave: they can only resume what was cut.
+BOOST_AUTO_TEST_CASE(stream_hasBegunAndItsOnlyEndpointFallsSilent_isCutBeforeItsCallerLeaves)
+{
+    addStreaming();
+    callPatiently("r1");
+    runPatiently(5 * EventInterval);
+    BOOST_REQUIRE(waiting[0].received > 0);
+    served[0]->isSilent = true;
+    runPatiently(CallerPatience + EventInterval);
+    BOOST_TEST(countLeft() == 0);
+    BOOST_TEST(waiting[0].caller->isClosed());
+}
+
+// Guards against streams being sent to a second endpoint of a service that stands still, where nothing can begin either.
+BOOST_AUTO_TEST_CASE(service_standsStillWithAnEndpointOutOfReach_noStreamIsSentTwice)
+{
+    beginOneAtEachOfTwo();
+    served[0]->isSilent = true;
+    runFor(CallerPatience);
+    BOOST_TEST(streamsAt(1) == 1);
+}
+
+// Guards against work for callers who left: endpoints that stand still one after the other hold it, and no cancel reaches them.
+BOOST_AUTO_TEST_CASE(endpoints_standStillInSeries_noCallerLeavesWithoutAnAnswer)
+{
+    constexpr int Endpoints = 3;
+    for (int endpoint = 0; endpoint < Endpoints; ++endpoint) {
+        addStreaming();
+    }
+    int id = 0;
+    for (const auto &endpoint : served) {
+        for (int stream = 0; stream < Endpoints; ++stream) {
+            callPatiently("r" + std::to_string(++id));
+            runPatiently(EventInterval);
+        }
+        endpoint->isSilent = true;
+        runPatiently(CallerPatience + 3 * EventInterval);
+        endpoint->isSilent = false;
+    }
+    BOOST_TEST(countLeft() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace magnolia::forward
