forward, routing: every wait of a request ends while its caller still hears the answer

What callers saw: a stream without an event for two seconds, then nothing; the entry waited for the route's timeout (8 s), sent the request to a second endpoint 0.3 s before its caller left, and could not call it back from an endpoint that stood still.

Cause: no entry knew how long its caller stays. Deadline and patience with an endpoint were asked one by one, and none of them is the time at which a caller leaves.

Now each wait ends by CallerBounds::nextEventDue with a final answer (504, 503 if it was not sent, a cut stream that its caller may resume). A sending, first or further, is made only if the shortest begin that was seen lately (BeginTimes) fits into what is left. A request at an endpoint out of reach is moved only while others of its service go on, and has its answer at once if it can't be moved or nothing can come in time. A caller that is slow to read is not counted as silent endpoint any more.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -43,12 +43,14 @@
 // tried: long enough for one that is merely slow, and short enough that the other's answer is in time to be of use.
 constexpr int ObjectivesBeforeRepeat = 2;
 
-// Callers abandon a stream after about two seconds without an event. A stream that has been silent for less than that is
-// moved, if it may be, so that the next endpoint's first event still finds its caller.
-constexpr Duration StreamSilence{1700};
+// First events take longer than the shortest of them: a stream that is stuck is moved so long before a sending is of no use any more.
+constexpr Duration MoveLead{200};
 
 constexpr Duration PatienceRecheck{100};
 
+// Two words further apart than this are of different passes of a group.
+constexpr Duration SamePass{50};
+
 // Endpoints differ in how long requests wait there; one that is overtaken by so much is stuck.
 constexpr Duration OvertakenBy{1000};
 
@@ -248,11 +250,12 @@
 /** Waits until the endpoint's group may be tried again. @return false if the time for it is over. */
 bool Forwarding::waitForGroup(const routing::Endpoint &endpoint)
 {
-    if (isStreaming_ || BootClock::now() >= waitUntil_) {
+    const BootTime latest = std::min(waitUntil_, latestSending());
+    if (isStreaming_ || BootClock::now() >= latest) {
         return false;
     }
     // What was refused once costs the retry budget: it waits until a new request has shown that the group runs again.
-    beginWaiting(isResending_ ? waitUntil_ : std::min(waitUntil_, endpoint.refusesUntil));
+    beginWaiting(isResending_ ? latest : std::min(latest, endpoint.refusesUntil));
     return true;
 }
 
@@ -300,11 +303,11 @@
     if (endsAsQuarantined()) {
         return;
     }
-    if (left().count() <= 0) {
-        giveUp();
+    const BootTime now = BootClock::now();
+    if (now >= latestSending()) {
+        giveUp(overdueCause());
         return;
     }
-    const BootTime now = BootClock::now();
     const routing::EndpointPointer endpoint = nextEndpoint();
     if (endpoint != nullptr && now < endpoint->refusesUntil && waitForGroup(*endpoint)) {
         return;
@@ -370,7 +373,7 @@
         ++endpoint->unbegun;
         core_.silence.began(endpoint, this, [moving = weak_from_this()] {
             if (const auto self = moving.lock()) {
-                (void)self->moveFromSilent("endpoint silent");
+                (void)self->leaveSilent("endpoint silent");
             }
         });
     }
@@ -413,8 +416,8 @@
     if (!sendings_.mayTryAnother(route_->maxEndpoints)) {
         return "as many endpoints as allowed were tried";
     }
-    if (left().count() <= 0) {
-        return "time is up";
+    if (BootClock::now() >= latestSending()) {
+        return overdueCause();
     }
     if (!core_.allowanceOf(service_).tryRetry(BootClock::now())) {
         core_.metrics.retriesDenied.add();
@@ -535,6 +538,7 @@
     const bool isEvents = head.headers.value("content-type").starts_with(EventStream);
     isStreamAnswer_ = route_->kind == RouteKind::Stream && isSuccess(head.status) && isEvents;
     if (isStreamAnswer_) {
+        core_.endpoints.streamBegan(service_, heardAt_ - sentAt_, heardAt_);
         cutter_.beginNextRun();
     }
 }
@@ -598,6 +602,7 @@
     bounds_.eventSent(heardAt_);
     sink_->sendPiece(events);
     if (sink_ != nullptr && call_ != nullptr && sink_->pendingBytes() > MostPendingBytes) {
+        isHeldBack_ = true;
         call_->setReading(false);
     }
 }
@@ -621,9 +626,13 @@
 
 void Forwarding::callerDrained()
 {
-    if (call_ != nullptr) {
-        call_->setReading(true);
+    if (!std::exchange(isHeldBack_, false) || call_ == nullptr) {
+        return;
     }
+    heardAt_ = BootClock::now(); // The silence was the caller's.
+    bounds_.eventSent(heardAt_);
+    call_->setReading(true);
+    startTimer();
 }
 
 void Forwarding::callEnded(CallEnd end)
@@ -763,7 +772,7 @@
 void Forwarding::startTimer()
 {
     const BootTime now = BootClock::now();
-    BootTime next = waiting_ == Waiting::ForNothing ? bounds_.deadline() : std::min(bounds_.deadline(), waitingEnds_);
+    BootTime next = waiting_ == Waiting::ForNothing ? answerDue() : std::min(answerDue(), waitingEnds_);
     if (call_ != nullptr) {
         const BootTime bound = patienceEnds();
         // A bound that has passed without effect, e.g. for want of retry budget, is looked at again now and then.
@@ -778,8 +787,14 @@
     if (!call_->isConnected()) {
         return sentAt_ + ConnectTimeout;
     }
+    if (isHeldBack_) {
+        return bounds_.deadline();
+    }
+    if (endpoint_->isSilent) {
+        return heardAt_;
+    }
     if (route_->kind == RouteKind::Stream) {
-        return heardAt_ + StreamSilence;
+        return std::max(latestSending() - MoveLead, sentAt_ + MoveLead);
     }
     if (route_->kind == RouteKind::Idempotent && route_->latencyObjective.count() > 0) {
         return sentAt_ + ObjectivesBeforeRepeat * route_->latencyObjective;
@@ -791,8 +806,8 @@
 {
     const auto self = shared_from_this();
     const BootTime now = BootClock::now();
-    if (now >= bounds_.deadline()) {
-        giveUp();
+    if (now >= answerDue()) {
+        giveUp(overdueCause());
         return;
     }
     if (waiting_ == Waiting::ForPlace && now >= waitingEnds_) {
@@ -818,31 +833,72 @@
         callEnded(CallEnd::NotSent);
         return;
     }
-    if (!isOver || !isLeftBehind() || !moveFromSilent("silent")) {
+    if (!isOver || !leaveSilent("silent")) {
         startTimer();
     }
 }
 
+/** @return when the caller has to be told something, or it leaves. */
+BootTime Forwarding::answerDue() const
+{
+    return isHeldBack_ ? bounds_.deadline() : bounds_.nextEventDue();
+}
+
+/** @return until when a sending can bring the caller something before it leaves. */
+BootTime Forwarding::latestSending() const
+{
+    const bool isStream = route_->kind == RouteKind::Stream;
+    const BootClock::duration begin = isStream ? core_.endpoints.shortestBegin(service_, BootClock::now()) : BootClock::duration(0);
+    return bounds_.nextEventDue() - begin;
+}
+
+std::string_view Forwarding::overdueCause() const
+{
+    const bool isDeadline = bounds_.nextEventDue() == bounds_.deadline();
+    return isDeadline ? "time is up" : "nothing can come before its caller leaves";
+}
+
 /**
  * A request for which nothing comes for long either waits with all others, and would wait anew elsewhere, or it alone is stuck.
  *
- * @return true if others went on without it. Whether the endpoint is out of reach is for the watch to find.
+ * @return true if others went on without it.
  */
 bool Forwarding::isLeftBehind() const
 {
     if (route_->kind != RouteKind::Stream || !core_.silence.isEnabled()) {
         return true;
     }
+    if (endpoint_->isSilent) {
+        return core_.endpoints.serviceHeardAt(service_) > endpoint_->silentSince() + SamePass;
+    }
     if (call_->hasAnswer()) {
         return endpoint_->heardAt > heardAt_;
     }
     return endpoint_->begunSentAt > sentAt_ || core_.endpoints.serviceBegunSentAt(service_) > sentAt_ + OvertakenBy;
 }
 
-/** Sends it elsewhere, since nothing comes from the endpoint. @return false if that is not allowed. */
-bool Forwarding::moveFromSilent(std::string_view cause)
+/** Nothing comes from the endpoint: the request is sent elsewhere, or ended if that can't be or is of no use. @return false if it is left there. */
+bool Forwarding::leaveSilent(std::string_view cause)
+{
+    if (call_ == nullptr || !isLeftBehind()) {
+        return false;
+    }
+    const bool isInTime = BootClock::now() < latestSending();
+    if (isInTime && moveElsewhere(cause)) {
+        return true;
+    }
+    // What has begun goes on if the endpoint wakes, and what may not be repeated is of use to its caller only then.
+    if (!endpoint_->isSilent || isStreaming_ || !mayRepeat()) {
+        return false;
+    }
+    giveUp(isInTime ? "its endpoint is out of reach" : overdueCause());
+    return true;
+}
+
+/** @return false if kind, bound or budget do not allow it. */
+bool Forwarding::moveElsewhere(std::string_view cause)
 {
-    const bool couldMove = call_ != nullptr && mayRepeat() && sendings_.mayTryAnother(route_->maxEndpoints);
+    const bool couldMove = mayRepeat() && sendings_.mayTryAnother(route_->maxEndpoints);
     if (!couldMove || !core_.allowanceOf(service_).tryRetry(BootClock::now())) {
         return false;
     }
@@ -857,17 +913,20 @@
     return true;
 }
 
-void Forwarding::giveUp()
+void Forwarding::giveUp(std::string_view cause)
 {
-    const bool wasSent = call_ != nullptr && call_->hasSent();
     if (call_ != nullptr) {
-        if (!call_->hasAnswer()) {
+        // One that others hear from is merely slow, or full.
+        const bool isHeard = route_->kind == RouteKind::Stream && endpoint_->heardAt > sentAt_;
+        const bool isUnheard = !call_->hasAnswer() && !isHeard;
+        if (isUnheard) {
             core_.connections.closeAll(endpoint_->record.id); // It may be silent for good, and its siblings with it.
         }
-        mayHaveRun_ = mayHaveRun_ || wasSent;
-        endCall(EndpointSign::Failed);
+        mayHaveRun_ = mayHaveRun_ || call_->hasSent();
+        logCancel(cause);
+        endCall(isUnheard || call_->hasAnswer() ? EndpointSign::Failed : EndpointSign::Refused);
     }
-    conclude("time is up", StatusTimeout);
+    conclude(cause, StatusTimeout);
 }
 
 /**
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -103,10 +103,14 @@
     void timerFired();
     void noteBegun();
     bool isLeftBehind() const;
-    bool moveFromSilent(std::string_view cause);
+    bool leaveSilent(std::string_view cause);
+    bool moveElsewhere(std::string_view cause);
     void startTimer();
     BootTime patienceEnds() const;
-    void giveUp();
+    BootTime answerDue() const;
+    BootTime latestSending() const;
+    std::string_view overdueCause() const;
+    void giveUp(std::string_view cause);
     void conclude(std::string_view cause, int failedStatus);
     void endCall(routing::EndpointSign sign);
     void refuse(int status, Duration retryAfter, std::string_view cause);
@@ -153,6 +157,7 @@
     HeldAnswer incoming_;
     std::optional<HeldAnswer> fallback_; ///< An endpoint's failure, passed on if nothing better comes.
 
+    bool isHeldBack_ = false; ///< The endpoint is not read until the caller has taken more.
     bool isStreaming_ = false; ///< The caller has the head of a stream.
     bool isStreamAnswer_ = false; ///< The call's answer is a stream of events.
     EventCutter cutter_;
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "routing/begintimes.h"
 #include "routing/routetable.h"
 #include "routing/statedlimit.h"
 
@@ -165,6 +166,12 @@
     /** @return when the latest sent of the requests to the service was sent whose answers have begun; the epoch if none has. */
     BootTime serviceBegunSentAt(std::string_view service) const;
 
+    /** A stream of the service had its first event so long after it was sent. */
+    void streamBegan(std::string_view service, BootClock::duration took, BootTime now);
+
+    /** @return the shortest of those times lately; zero if nothing began. */
+    BootClock::duration shortestBegin(std::string_view service, BootTime now) const;
+
     static void reported(Endpoint &endpoint, const LoadReport &load, BootTime now);
     static void signSeen(Endpoint &endpoint, EndpointSign sign, BootTime now);
 
@@ -182,6 +189,7 @@
     struct ServiceSigns {
         BootTime heardAt;
         BootTime begunSentAt;
+        BeginTimes beginTimes;
     };
 
     ServiceSigns &signsOf(std::string_view service);
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -263,6 +263,17 @@
     return found == signs_.end() ? BootTime() : found->second.begunSentAt;
 }
 
+void EndpointTable::streamBegan(std::string_view service, BootClock::duration took, BootTime now)
+{
+    signsOf(service).beginTimes.began(took, now);
+}
+
+BootClock::duration EndpointTable::shortestBegin(std::string_view service, BootTime now) const
+{
+    const auto found = signs_.find(service);
+    return found == signs_.end() ? BootClock::duration(0) : found->second.beginTimes.shortest(now);
+}
+
 void EndpointTable::reported(Endpoint &endpoint, const LoadReport &load, BootTime now)
 {
     endpoint.load = load;
