routing, forward: streams are let in only for an endpoint that begins them next; one in doubt gets nothing new

Cause: EndpointTable::hasOpening counted an endpoint that is avoided as free, and choose() then took the cheapest of all that are avoided or have enough to begin. And an endpoint was taken like any other until a check of 0.25 s had failed.

Both now go by one order of reluctance: an avoided endpoint is an opening only if no sound one works on others' streams, and one that says nothing for 0.3 s while its peers speak is avoided at once.

EndpointTableTest, endpoint_saysNothingWhilePeersSpeak_isNotTaken and opening_onlyAnAvoidedEndpointHasNoneToBegin_isNone: red with the table as it was (taken 100 of 100 times; an opening), green now.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -48,9 +48,6 @@
 
 constexpr Duration PatienceRecheck{100};
 
-// Two words further apart than this are of different passes of a group.
-constexpr Duration SamePass{50};
-
 // Endpoints differ in how long requests wait there; one that is overtaken by so much is stuck.
 constexpr Duration OvertakenBy{1000};
 
@@ -869,7 +866,7 @@
         return true;
     }
     if (endpoint_->isSilent) {
-        return core_.endpoints.serviceHeardAt(service_) > endpoint_->silentSince() + SamePass;
+        return core_.endpoints.isPassedOver(*endpoint_);
     }
     if (call_->hasAnswer()) {
         return endpoint_->heardAt > heardAt_;
--- a/libs/forward/src/silencewatch.cpp
+++ b/libs/forward/src/silencewatch.cpp
@@ -11,13 +11,9 @@
 namespace
 {
 
-// Callers abandon a stream after two seconds without an event at the earliest. The check and the first event elsewhere have to fit in.
-constexpr Duration SilenceBesidePeers{300};
+// Of an endpoint whose peers are silent too.
 constexpr Duration SilenceOfAll{1000};
 
-// Two words further apart than this are of different passes of a group.
-constexpr Duration SamePass{50};
-
 constexpr Duration AnswerTime{250};
 constexpr Duration CheckInterval{1000}; ///< Between two checks of an endpoint that answered.
 constexpr Duration RecheckInterval{500}; ///< Of one that is silent.
@@ -129,9 +125,8 @@
     if (endpoint.limit.isStated()) {
         return false; // A check would count against it.
     }
-    const bool othersSpoke = endpoints_.serviceHeardAt(endpoint.record.service) > endpoint.silentSince() + SamePass;
-    const Duration patience = othersSpoke ? SilenceBesidePeers : SilenceOfAll;
-    return now - endpoint.silentSince() >= patience && now - watched.checkedAt >= CheckInterval;
+    const bool isSuspected = endpoints_.isInDoubt(endpoint, now) || now - endpoint.silentSince() >= SilenceOfAll;
+    return isSuspected && now - watched.checkedAt >= CheckInterval;
 }
 
 void SilenceWatch::check(Watched &watched, BootTime now)
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -151,9 +151,19 @@
     /** It answered a request, so its group runs. @return true if that was in doubt. */
     bool groupAnswered(Endpoint &endpoint);
 
-    /** @return false if each endpoint of the service that takes work has enough streams to begin, is out of reach or at its limit. */
+    /**
+     * Whether a stream that is let in now begins without waiting behind another. An endpoint that is avoided counts only if all are.
+     *
+     * @return true also if no endpoint takes work: then there is nothing to wait for.
+     */
     bool hasOpening(std::string_view service, BootTime now, Random &random) const;
 
+    /** Others of its service were heard well after it. Only with a request in progress there. */
+    bool isPassedOver(const Endpoint &endpoint) const;
+
+    /** The same for so long that it may be out of reach. */
+    bool isInDoubt(const Endpoint &endpoint, BootTime now) const;
+
     /** Something came from it. */
     void heard(Endpoint &endpoint, BootTime now);
 
@@ -182,7 +192,8 @@
     /** In this order: one that is taken with more of it is taken only if there is no other. */
     enum class Reluctance : std::uint8_t {
         None,
-        Avoided, ///< It failed lately, has enough to begin, or is kept apart from such requests.
+        Behind, ///< It has enough streams to begin.
+        Avoided, ///< It failed lately, may be out of reach, or is kept apart from such requests.
         OutOfReach,
     };
 
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -35,6 +35,12 @@
 // refused request for each entry and time.
 constexpr Duration GroupPause{200};
 
+// Two words further apart than this are of different passes of a group.
+constexpr Duration SamePass{50};
+
+// An endpoint with requests in progress from which nothing comes for so long while its peers speak may be out of reach.
+constexpr Duration SilenceBesidePeers{300};
+
 // Part of an endpoint's places that all entries together may fill with streams that have not begun: the next ones begin without a gap, and few wait
 // where nobody can recall them once the endpoint is out of reach.
 constexpr std::uint32_t UnbegunParts = 4;
@@ -117,8 +123,10 @@
     }
     const bool meetsSuspect = request.isSuspect && endpoint.suspects > 0;
     const bool isAvoided = now < std::max(endpoint.avoidUntil, endpoint.refusesUntil);
-    const bool isBehind = hasShareUnbegun(endpoint);
-    return meetsSuspect || isAvoided || isBehind ? Reluctance::Avoided : Reluctance::None;
+    if (meetsSuspect || isAvoided || isInDoubt(endpoint, now)) {
+        return Reluctance::Avoided;
+    }
+    return hasShareUnbegun(endpoint) ? Reluctance::Behind : Reluctance::None;
 }
 
 EndpointPointer EndpointTable::choose(const ChoiceRequest &request, BootTime now, Random &random) const
@@ -220,16 +228,32 @@
 bool EndpointTable::hasOpening(std::string_view service, BootTime now, Random &random) const
 {
     bool hasWorking = false;
+    bool hasBehind = false;
+    bool hasAvoidedOne = false;
     for (const EndpointPointer &endpoint : ofService(service)) {
         if (!endpoint->takesWork()) {
             continue;
         }
         hasWorking = true;
-        if (!endpoint->isSilent && !hasShareUnbegun(*endpoint) && endpoint->limit.mayUse(instances_, now, random)) {
+        const Reluctance reluctance = reluctanceTo(*endpoint, {.service = service}, now);
+        hasBehind = hasBehind || reluctance == Reluctance::Behind;
+        const bool isFree = reluctance < Reluctance::OutOfReach && !hasShareUnbegun(*endpoint) && endpoint->limit.mayUse(instances_, now, random);
+        if (isFree && reluctance == Reluctance::None) {
             return true;
         }
+        hasAvoidedOne = hasAvoidedOne || isFree;
     }
-    return !hasWorking; // Then there is nothing to wait for.
+    return !hasWorking || (hasAvoidedOne && !hasBehind);
+}
+
+bool EndpointTable::isPassedOver(const Endpoint &endpoint) const
+{
+    return serviceHeardAt(endpoint.record.service) > endpoint.silentSince() + SamePass;
+}
+
+bool EndpointTable::isInDoubt(const Endpoint &endpoint, BootTime now) const
+{
+    return endpoint.inFlight > 0 && now - endpoint.silentSince() >= SilenceBesidePeers && isPassedOver(endpoint);
 }
 
 void EndpointTable::heard(Endpoint &endpoint, BootTime now)
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -139,6 +139,42 @@
     BOOST_TEST(choices(300).contains("a"));
 }
 
+// Guards against streams being sent to an endpoint that has just missed what all its peers said.
+BOOST_AUTO_TEST_CASE(endpoint_saysNothingWhilePeersSpeak_isNotTaken)
+{
+    const EndpointPointer silent = table.find("a");
+    table.sendingTo(*silent, Now - 600ms, random);
+    silent->inFlight = 1;
+    table.find("b")->inFlight = 3;
+    table.find("c")->inFlight = 3;
+    table.heard(*table.find("b"), Now);
+    BOOST_TEST(choices(100)["a"] == 0);
+}
+
+// Guards against streams being let in for an endpoint that is avoided, and then queueing at another one.
+BOOST_AUTO_TEST_CASE(opening_onlyAnAvoidedEndpointHasNoneToBegin_isNone)
+{
+    for (const char *id : {"a", "b"}) {
+        table.find(id)->inFlight = 1;
+        table.find(id)->unbegun = 1;
+    }
+    BOOST_TEST(table.hasOpening("s", Now, random));
+    EndpointTable::signSeen(*table.find("c"), EndpointSign::Failed, Now);
+    BOOST_TEST(!table.hasOpening("s", Now, random));
+}
+
+BOOST_AUTO_TEST_CASE(opening_allEndpointsAreAvoided_isThereForOneAtEach)
+{
+    for (const char *id : {"a", "b", "c"}) {
+        EndpointTable::signSeen(*table.find(id), EndpointSign::Failed, Now);
+    }
+    BOOST_TEST(table.hasOpening("s", Now, random));
+    for (const char *id : {"a", "b", "c"}) {
+        table.find(id)->unbegun = 1;
+    }
+    BOOST_TEST(!table.hasOpening("s", Now, random));
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_failsInARow_isAvoidedLongerUpToABound)
 {
     const auto endpoint = table.find("a");
