http, forward: nothing is sent for a caller that has closed its connection already

The same promise elsewhere: a process that is late reads a request and its caller's end together. It sent the request first, on a kept connection at once, and cancelled it on the loop's next turn, so that the endpoint got it after its caller had left. Before a sending the connection is now asked whether the caller has closed it.

CallerPatienceTest/caller_leavesBeforeItsRequestIsRead_nothingIsSent: red without the question (2 requests at the endpoint, 1 expected), green with it.

--- a/libs/forward/src/answersink.h
+++ b/libs/forward/src/answersink.h
@@ -34,6 +34,9 @@
     virtual void cut() = 0;
 
     virtual std::size_t pendingBytes() const = 0; ///< Not taken by the caller yet.
+
+    /** It has closed its connection, which is told by callerLeft() soon. */
+    virtual bool hasCallerLeft() const = 0;
 };
 
 } // namespace magnolia::forward
--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -234,6 +234,11 @@
     return connection_->pendingBytes();
 }
 
+bool CallerSession::hasCallerLeft() const
+{
+    return connection_->isClosedByPeer();
+}
+
 void CallerSession::answerEnded()
 {
     const auto self = shared_from_this();
--- a/libs/forward/src/callersession.h
+++ b/libs/forward/src/callersession.h
@@ -44,6 +44,7 @@
     void endStream() override;
     void cut() override;
     std::size_t pendingBytes() const override;
+    bool hasCallerLeft() const override;
 
 private:
     void received(std::string_view bytes);
--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -300,6 +300,10 @@
     if (endsAsQuarantined()) {
         return;
     }
+    if (sink_->hasCallerLeft()) {
+        timer_.stop(); // A process that is late may read the request and the caller's end together.
+        return;
+    }
     const BootTime now = BootClock::now();
     if (now >= latestSending()) {
         giveUp(overdueCause());
--- a/libs/forward/tests/callerpatiencetest.cpp
+++ b/libs/forward/tests/callerpatiencetest.cpp
@@ -1,7 +1,11 @@
 #include "silencefixture.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -27,6 +31,16 @@
         return waiting.back();
     }
 
+    /** A caller that connects, sends and closes before the entry gets to run. */
+    void sendAndLeave(std::string_view bytes) const
+    {
+        const http::SocketAddress target = http::SocketAddress::parse(task->callersAddress()).value();
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        BOOST_REQUIRE(::connect(fd, target.get(), target.length) == 0);
+        BOOST_REQUIRE(::send(fd, bytes.data(), bytes.size(), 0) == static_cast<ssize_t>(bytes.size()));
+        ::close(fd);
+    }
+
     static bool hasEnded(const Waiting &one)
     {
         return one.hasLeft || one.caller->isClosed() || one.caller->received().starts_with("HTTP/1.1 5");
@@ -126,6 +140,17 @@
     BOOST_TEST(countLeft() == 0);
 }
 
+// Guards against requests being sent to endpoints although their callers have closed the connection, when the process is late to read both.
+BOOST_AUTO_TEST_CASE(caller_leavesBeforeItsRequestIsRead_nothingIsSent)
+{
+    const RawPeer &endpoint = addEndpoint([](int) -> RawPeer::Answer { return {.bytes = wholeAnswer(200, "r1", "x")}; });
+    (void)answerTo(streamRequest("r1"), "\r\n\r\nx"); // Its connection is kept, so that a further request would leave at once.
+    BOOST_REQUIRE(endpoint.requests() == 1);
+    sendAndLeave(streamRequest("r2"));
+    runFor(3 * EventInterval);
+    BOOST_TEST(endpoint.requests() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::forward
--- a/libs/http/include/http/connection.h
+++ b/libs/http/include/http/connection.h
@@ -69,6 +69,9 @@
     /** Stops or resumes reading; the far end is then held back by flow control. */
     void setReading(bool enabled);
 
+    /** All that the far end sent has been read, and it has closed or reset its side; onEnd may not have been called yet. */
+    bool isClosedByPeer() const;
+
     bool isOpen() const
     {
         return fd_ >= 0;
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -127,6 +127,13 @@
     }
 }
 
+bool Connection::isClosedByPeer() const
+{
+    char next = 0;
+    const ssize_t count = recv(fd_, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void Connection::readable()
 {
     const auto self = shared_from_this();
