routing, forward: whether a sending is of use is decided by a class without a network

SendingOutlook answers, from the caller's bounds, the route and what is known of endpoints: until when a sending is of use, how long one is left alone, whether others went on without it. Forwarding asked these one by one with its own constants. No behaviour changes; SendingOutlookTest (6 cases) tests the decisions by themselves.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -1,14 +1,10 @@
 #include "forwarding.h"
 
-#include "base/errorcode.h"
-#include "http/errorbody.h"
+#include "headervalues.h"
 #include "outgoingrequest.h"
-
-#include <spdlog/fmt/fmt.h>
+#include "ownanswer.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <random>
 #include <utility>
 
@@ -24,8 +20,6 @@
 constexpr int StatusOk = 200;
 constexpr int FirstRedirect = 300;
 constexpr int FirstServerError = 500;
-constexpr int StatusUnauthorised = 401;
-constexpr int StatusNotFound = 404;
 constexpr int StatusMisdirected = 421;
 constexpr int StatusTooManyRequests = 429;
 constexpr int StatusBadGateway = 502;
@@ -35,22 +29,8 @@
 // Of what a caller states; more can't be reckoned with.
 constexpr Duration LongestStated = std::chrono::hours(24);
 
-// A dialled endpoint in the same region answers within a few milliseconds; a lost packet is sent again after about a
-// second, and by then another endpoint could have answered.
-constexpr Duration ConnectTimeout{400};
-
-// An answer to a request that may be repeated is waited for so many times the route's objective before another endpoint is
-// tried: long enough for one that is merely slow, and short enough that the other's answer is in time to be of use.
-constexpr int ObjectivesBeforeRepeat = 2;
-
-// First events take longer than the shortest of them: a stream that is stuck is moved so long before a sending is of no use any more.
-constexpr Duration MoveLead{200};
-
 constexpr Duration PatienceRecheck{100};
 
-// Endpoints differ in how long requests wait there; one that is overtaken by so much is stuck.
-constexpr Duration OvertakenBy{1000};
-
 // For a request that may run at most once only a connection is used that the endpoint is not likely to be closing just
 // now: if it were, nobody could tell whether the request ran.
 constexpr Duration LongestIdleAtMostOnce{1000};
@@ -95,23 +75,6 @@
     return sign == EndpointSign::Unreachable ? "unreachable" : "";
 }
 
-/** @return nothing if the text is anything but one number. */
-template<typename Number>
-std::optional<Number> numberOf(std::string_view text)
-{
-    Number number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() && !text.empty();
-    return isNumber ? std::optional(number) : std::nullopt;
-}
-
-/** @return requests a second; nothing if it is no number, or less than none. */
-std::optional<double> rateOf(std::string_view text)
-{
-    const auto rate = numberOf<double>(text);
-    return rate && std::isfinite(*rate) && *rate >= 0 ? rate : std::nullopt;
-}
-
 routing::CallerBounds boundsOf(const ForwardCore &core, const CallerMessage &request)
 {
     const auto stated = numberOf<std::uint64_t>(request.head.headers.value(core.options.protocol.deadline));
@@ -490,7 +453,7 @@
 void Forwarding::noteBroken()
 {
     waiting_ = Waiting::ForFate;
-    waitingEnds_ = BootClock::now() + ConnectTimeout;
+    waitingEnds_ = BootClock::now() + routing::ConnectTimeout;
     core_.crashes.connectionBroke(endpoint_, {.fingerprint = fingerprint_, .ordinal = ordinal_}, [waiting = weak_from_this()] {
         const auto self = waiting.lock();
         if (self != nullptr && self->stopsWaitingFor(Waiting::ForFate)) {
@@ -659,7 +622,7 @@
     if (isUnsent) {
         // It reached nobody, so it counts neither against the route's bound nor, for the endpoint, as an arrival.
         sendings_.takeBack();
-        endpoint_->avoidUntil = std::max(endpoint_->avoidUntil, BootClock::now() + ConnectTimeout);
+        endpoint_->avoidUntil = std::max(endpoint_->avoidUntil, BootClock::now() + routing::ConnectTimeout);
         const bool mayDialAgain = sendings_.count() <= core_.endpoints.ofService(service_).size();
         if (mayDialAgain && left().count() > 0) {
             logSending(toString(end), 0, {}, "dial another");
@@ -782,25 +745,21 @@
     timer_.start(std::max(std::chrono::ceil<Duration>(next - now), Duration(1)));
 }
 
+routing::SendingOutlook Forwarding::outlook() const
+{
+    return routing::SendingOutlook(
+        {.bounds = bounds_, .route = *route_, .endpoints = core_.endpoints, .service = service_, .isWatched = core_.silence.isEnabled()});
+}
+
+routing::SendingState Forwarding::sendingState() const
+{
+    return {.endpoint = endpoint_.get(), .sentAt = sentAt_, .heardAt = heardAt_, .isConnected = call_->isConnected(), .hasAnswer = call_->hasAnswer()};
+}
+
 /** @return until when the call in progress is left alone. */
 BootTime Forwarding::patienceEnds() const
 {
-    if (!call_->isConnected()) {
-        return sentAt_ + ConnectTimeout;
-    }
-    if (isHeldBack_) {
-        return bounds_.deadline();
-    }
-    if (endpoint_->isSilent) {
-        return heardAt_;
-    }
-    if (route_->kind == RouteKind::Stream) {
-        return std::max(latestSending() - MoveLead, sentAt_ + MoveLead);
-    }
-    if (route_->kind == RouteKind::Idempotent && route_->latencyObjective.count() > 0) {
-        return sentAt_ + ObjectivesBeforeRepeat * route_->latencyObjective;
-    }
-    return bounds_.deadline();
+    return isHeldBack_ ? bounds_.deadline() : outlook().patienceEnds(sendingState(), BootClock::now());
 }
 
 void Forwarding::timerFired()
@@ -845,12 +804,9 @@
     return isHeldBack_ ? bounds_.deadline() : bounds_.nextEventDue();
 }
 
-/** @return until when a sending can bring the caller something before it leaves. */
 BootTime Forwarding::latestSending() const
 {
-    const bool isStream = route_->kind == RouteKind::Stream;
-    const BootClock::duration begin = isStream ? core_.endpoints.shortestBegin(service_, BootClock::now()) : BootClock::duration(0);
-    return bounds_.nextEventDue() - begin;
+    return outlook().latestSending(BootClock::now());
 }
 
 std::string_view Forwarding::overdueCause() const
@@ -859,29 +815,10 @@
     return isDeadline ? "time is up" : "nothing can come before its caller leaves";
 }
 
-/**
- * A request for which nothing comes for long either waits with all others, and would wait anew elsewhere, or it alone is stuck.
- *
- * @return true if others went on without it.
- */
-bool Forwarding::isLeftBehind() const
-{
-    if (route_->kind != RouteKind::Stream || !core_.silence.isEnabled()) {
-        return true;
-    }
-    if (endpoint_->isSilent) {
-        return core_.endpoints.isPassedOver(*endpoint_);
-    }
-    if (call_->hasAnswer()) {
-        return endpoint_->heardAt > heardAt_;
-    }
-    return endpoint_->begunSentAt > sentAt_ || core_.endpoints.serviceBegunSentAt(service_) > sentAt_ + OvertakenBy;
-}
-
 /** Nothing comes from the endpoint: the request is sent elsewhere, or ended if that can't be or is of no use. @return false if it is left there. */
 bool Forwarding::leaveSilent(std::string_view cause)
 {
-    if (call_ == nullptr || !isLeftBehind()) {
+    if (call_ == nullptr || !outlook().isLeftBehind(sendingState())) {
         return false;
     }
     const bool isInTime = BootClock::now() < latestSending();
@@ -988,20 +925,8 @@
 void Forwarding::answerOwn(int status, std::optional<Duration> retryAfter, std::string_view cause)
 {
     const Verdict verdict = mayHaveRun_ ? Verdict::MayHaveRun : Verdict::NotRun;
-    const ErrorCode code = status == StatusUnauthorised ? ErrorCode::Unauthorised
-        : status == StatusNotFound                      ? ErrorCode::NotFound
-        : status == StatusTimeout                       ? ErrorCode::DeadlineExceeded
-                                                        : ErrorCode::Unavailable;
-    const Failure failure{.code = code, .verdict = verdict, .detail = std::string(cause), .retryAfter = retryAfter};
-    http::HeaderList headers;
-    if (!requestId_.empty()) {
-        headers.add(core_.options.protocol.requestId, requestId_);
-    }
-    headers.add("Content-Type", "application/json");
-    if (retryAfter) {
-        headers.add("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(*retryAfter).count()));
-    }
-    sink_->answer(status, headers, http::errorBody(failure, requestId_));
+    const OwnAnswer answer{.status = status, .retryAfter = retryAfter, .cause = cause, .verdict = verdict, .requestId = requestId_};
+    sink_->answer(status, headersOf(answer, core_.options.protocol), bodyOf(answer));
     finish(mayHaveRun_ ? "failed" : "refused", status, cause);
 }
 
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -9,6 +9,7 @@
 #include "http/timer.h"
 #include "requestspans.h"
 #include "routing/callerbounds.h"
+#include "routing/sendingoutlook.h"
 #include "sendings.h"
 
 #include <cstdint>
@@ -102,11 +103,12 @@
     // Ends.
     void timerFired();
     void noteBegun();
-    bool isLeftBehind() const;
     bool leaveSilent(std::string_view cause);
     bool moveElsewhere(std::string_view cause);
     void startTimer();
     BootTime patienceEnds() const;
+    routing::SendingOutlook outlook() const;
+    routing::SendingState sendingState() const;
     BootTime answerDue() const;
     BootTime latestSending() const;
     std::string_view overdueCause() const;
--- /dev/null
+++ b/libs/forward/src/headervalues.h
@@ -0,0 +1,32 @@
+#ifndef MAGNOLIA_FORWARD_HEADERVALUES_H
+#define MAGNOLIA_FORWARD_HEADERVALUES_H
+
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <string_view>
+#include <system_error>
+
+namespace magnolia::forward
+{
+
+/** @return nothing if the text is anything but one number. */
+template<typename Number>
+std::optional<Number> numberOf(std::string_view text)
+{
+    Number number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() && !text.empty();
+    return isNumber ? std::optional(number) : std::nullopt;
+}
+
+/** @return requests a second; nothing if it is no number, or less than none. */
+inline std::optional<double> rateOf(std::string_view text)
+{
+    const auto rate = numberOf<double>(text);
+    return rate && std::isfinite(*rate) && *rate >= 0 ? rate : std::nullopt;
+}
+
+} // namespace magnolia::forward
+
+#endif
--- /dev/null
+++ b/libs/forward/src/ownanswer.cpp
@@ -0,0 +1,54 @@
+#include "ownanswer.h"
+
+#include "base/errorcode.h"
+#include "base/failure.h"
+#include "http/errorbody.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace magnolia::forward
+{
+
+namespace
+{
+
+constexpr int StatusUnauthorised = 401;
+constexpr int StatusNotFound = 404;
+constexpr int StatusTimeout = 504;
+
+ErrorCode codeOf(int status)
+{
+    switch (status) {
+    case StatusUnauthorised:
+        return ErrorCode::Unauthorised;
+    case StatusNotFound:
+        return ErrorCode::NotFound;
+    case StatusTimeout:
+        return ErrorCode::DeadlineExceeded;
+    default:
+        return ErrorCode::Unavailable;
+    }
+}
+
+} // namespace
+
+http::HeaderList headersOf(const OwnAnswer &answer, const Protocol &protocol)
+{
+    http::HeaderList headers;
+    if (!answer.requestId.empty()) {
+        headers.add(protocol.requestId, std::string(answer.requestId));
+    }
+    headers.add("Content-Type", "application/json");
+    if (answer.retryAfter) {
+        headers.add("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(*answer.retryAfter).count()));
+    }
+    return headers;
+}
+
+std::string bodyOf(const OwnAnswer &answer)
+{
+    const Failure failure{.code = codeOf(answer.status), .verdict = answer.verdict, .detail = std::string(answer.cause), .retryAfter = answer.retryAfter};
+    return http::errorBody(failure, std::string(answer.requestId));
+}
+
+} // namespace magnolia::forward
