platform, group: coordinators' terms keep rising through the store's return from an older copy

Cause: a term was the version of the coordinator's row, and the store gives versions out again after a return.

--- a/libs/group/include/group/engineport.h
+++ b/libs/group/include/group/engineport.h
@@ -51,8 +51,9 @@
 
 /** Who coordinates a group: a row of the platform's store, changed only under the condition that it has not changed. */
 struct CoordinatorRow {
-    std::uint64_t term = 0; ///< Grows with each change; 0: nobody has taken it yet.
+    std::uint64_t term = 0; ///< Grows with each coordinator; 0: nobody has taken it yet.
     std::string holder; ///< Name of the instance.
+    std::uint64_t version = 0; ///< Of the row; compares across the store's returns from an older copy.
 };
 
 /** What an agent needs of the platform's store. */
@@ -62,9 +63,9 @@
     virtual ~GroupStore() = default;
     virtual void readCoordinator(const std::string &group, std::function<void(Result<CoordinatorRow>)> done) = 0;
 
-    /** Takes the row if its term is still that one. @return the new term, or nothing if another was first. */
+    /** Takes the row if its version is still that one. @return the new term, higher than the row's, or nothing if another was first. */
     virtual void takeCoordinator(const std::string &group,
-                                 std::uint64_t term,
+                                 const CoordinatorRow &row,
                                  const std::string &holder,
                                  std::function<void(Result<std::optional<std::uint64_t>>)> done) = 0;
     virtual void listMembers(std::function<void(Result<std::vector<MemberAddress>>)> done) = 0;
--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -450,8 +450,10 @@
     if (hasChanged && row.term > 0 && row.holder != options_.instance) {
         return; // Somebody has just taken it, and will be heard of soon.
     }
+    CoordinatorRow known = row;
+    known.term = std::max(row.term, term_); // A store that returned from an older copy may not know the latest term.
     store_.takeCoordinator(
-        state_->group, row.term, options_.instance, guarded<Result<std::optional<std::uint64_t>>>([this](Result<std::optional<std::uint64_t>> term) {
+        state_->group, known, options_.instance, guarded<Result<std::optional<std::uint64_t>>>([this](Result<std::optional<std::uint64_t>> term) {
             if (!term) {
                 log()->warn("The coordinator's row can't be taken cause={}", term.error().detail);
             } else if (*term && **term > term_) {
--- a/libs/group/tests/grouptasktest.cpp
+++ b/libs/group/tests/grouptasktest.cpp
@@ -210,15 +210,15 @@
         done(row);
     }
     void takeCoordinator(const std::string & /*group*/,
-                         std::uint64_t term,
+                         const CoordinatorRow &known,
                          const std::string &holder,
                          std::function<void(Result<std::optional<std::uint64_t>>)> done) override
     {
-        if (term != row.term) {
+        if (known.version != row.version) {
             done(std::optional<std::uint64_t>());
             return;
         }
-        row = {.term = row.term + 10, .holder = holder};
+        row = {.term = known.term + 10, .holder = holder, .version = row.version + 1};
         done(std::optional(row.term));
     }
     void listMembers(std::function<void(Result<std::vector<MemberAddress>>)> done) override
