platform, forward: an endpoint whose registration changes and goes within one answer is gone

Removals were handled before all changes, so the endpoint came back as ready, and stayed for good, since each removal is told once.

Now the last row of a key counts; of those before it only the word that an endpoint leaves.

--- a/libs/forward/src/endpointlist.cpp
+++ b/libs/forward/src/endpointlist.cpp
@@ -64,13 +64,13 @@
     if (!takesVersion(changed.version)) {
         return;
     }
+    put(changed.endpoints); // One that says that it leaves and goes at once is kept, if at all, as one that leaves.
     const BootTime now = BootClock::now();
     for (const std::string &id : gone) {
         if (const auto absence = roster_.removed(id, now)) {
             noteAbsence(*absence, now);
         }
     }
-    put(changed.endpoints);
     removeDue();
 }
 
