forward, routing: a peer's list tells apart what the peer only keeps for a while

An entry keeps endpoints that are missing after its own silence for 2.2 s, and told peers of them as if they were on the list.

Kept endpoints are told apart, with the time for which they are kept. Peers of earlier releases leave the new field out. Three new cases of endpointlisttest are red without this.

--- a/libs/forward/src/endpointlist.cpp
+++ b/libs/forward/src/endpointlist.cpp
@@ -43,6 +43,7 @@
 
 void EndpointList::takeAll(const routing::EndpointListing &listing)
 {
+    const bool knewNothing = version_ == 0;
     if (!takesVersion(listing.version)) {
         return;
     }
@@ -52,6 +53,14 @@
         ids.push_back(record.id);
     }
     const BootTime now = BootClock::now();
+    for (const routing::KeptEndpoint &kept : listing.kept) {
+        if (knewNothing) {
+            put(std::span(&kept.record, 1));
+        }
+        if (const auto absence = roster_.keptByPeer(kept.record.id, kept.left, now)) {
+            noteAbsence(*absence, now);
+        }
+    }
     for (const routing::Absence &absence : roster_.all(ids, now)) {
         noteAbsence(absence, now);
     }
@@ -109,9 +118,9 @@
 
 std::string_view EndpointList::document()
 {
-    if (isDocumentOld_) {
+    if (isDocumentOld_ || roster_.nextDue()) { // How long one is still kept changes all the while.
         isDocumentOld_ = false;
-        document_ = routing::encodeListing({.version = version_, .endpoints = roster_.listed()});
+        document_ = routing::encodeListing(roster_.listing(version_, BootClock::now()));
     }
     return document_;
 }
--- a/libs/forward/tests/endpointlisttest.cpp
+++ b/libs/forward/tests/endpointlisttest.cpp
@@ -92,6 +92,71 @@
     BOOST_TEST(notes.told == (Texts{"gone a"}), boost::test_tools::per_element());
 }
 
+// Guards against an endpoint that has left being brought back by a peer that still keeps it after its own silence: the store
+// tells of each removal once, so nothing takes it away again.
+BOOST_AUTO_TEST_CASE(peersList_withEndpointThatThePeerOnlyKeeps_doesNotBringItBack)
+{
+    EndpointList keeping(loop.get(), notes, {.renewalInterval = 1200ms, .comeBackTime = 100ms});
+    keeping.takeAll({.version = 10, .endpoints = {recordOf("a"), recordOf("b")}});
+    keeping.confirmed(BootClock::now() - 5s);
+    list.takeChanges({.version = 15, .endpoints = {}}, std::array<std::string, 1>{"a"});
+    list.confirmed(BootClock::now());
+    keeping.takeChanges({.version = 20, .endpoints = {}}, std::array<std::string, 1>{"a"});
+    keeping.confirmed(BootClock::now());
+    notes.told.clear();
+    list.takePeers(keeping.document());
+    list.confirmed(BootClock::now());
+    BOOST_TEST(!notes.wasTold("endpoint a"));
+    const auto told = routing::decodeListing(list.document());
+    BOOST_REQUIRE(told.has_value());
+    BOOST_TEST((told->endpoints == std::vector{recordOf("b")}));
+}
+
+// Guards against the same endpoint being kept for good by an entry that keeps it for a while itself, once a peer's list has named it.
+BOOST_AUTO_TEST_CASE(peersList_withEndpointThatBothOnlyKeep_isStillGivenUp)
+{
+    NotingTask own;
+    EndpointList keeping(loop.get(), notes, {.renewalInterval = 1200ms, .comeBackTime = 100ms});
+    EndpointList lapsed(loop.get(), own, {.renewalInterval = 1200ms, .comeBackTime = 100ms});
+    for (EndpointList *each : {&keeping, &lapsed}) {
+        each->takeAll({.version = 10, .endpoints = {recordOf("a"), recordOf("b")}});
+        each->confirmed(BootClock::now() - 5s);
+    }
+    lapsed.takeChanges({.version = 15, .endpoints = {}}, std::array<std::string, 1>{"a"});
+    lapsed.confirmed(BootClock::now());
+    keeping.takeChanges({.version = 20, .endpoints = {}}, std::array<std::string, 1>{"a"});
+    keeping.confirmed(BootClock::now());
+    lapsed.takePeers(keeping.document());
+    lapsed.confirmed(BootClock::now());
+    BOOST_TEST(runUntil([&] { return own.wasTold("gone a"); }, 2000ms));
+}
+
+// Guards against an entry that follows its peers alone never hearing that an endpoint which a peer kept for a while is gone: the peer gives it up without a new
+// version.
+BOOST_AUTO_TEST_CASE(peersList_endpointGivenUpByPeerLater_isGivenUpHereToo)
+{
+    NotingTask own;
+    EndpointList follower(loop.get(), own, {.renewalInterval = 1200ms, .comeBackTime = 100ms});
+    follower.takeAll({.version = 10, .endpoints = {recordOf("a"), recordOf("b")}});
+    follower.confirmed(BootClock::now());
+    EndpointList keeping(loop.get(), notes, {.renewalInterval = 1200ms, .comeBackTime = 100ms});
+    keeping.takeAll({.version = 10, .endpoints = {recordOf("a"), recordOf("b")}});
+    keeping.confirmed(BootClock::now() - 5s);
+    keeping.takeChanges({.version = 20, .endpoints = {}}, std::array<std::string, 1>{"a"});
+    keeping.confirmed(BootClock::now());
+    const auto askPeer = [&] {
+        if (keeping.version() > follower.version()) {
+            follower.takePeers(keeping.document());
+        }
+        follower.confirmed(BootClock::now());
+    };
+    askPeer();
+    notes.told.clear();
+    BOOST_REQUIRE(runUntil([&] { return notes.wasTold("gone a"); }, 2000ms));
+    askPeer();
+    BOOST_TEST(runUntil([&] { return own.wasTold("gone a"); }, 1000ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::forward
--- a/libs/routing/include/routing/endpointroster.h
+++ b/libs/routing/include/routing/endpointroster.h
@@ -2,6 +2,7 @@
 #define MAGNOLIA_ROUTING_ENDPOINTROSTER_H
 
 #include "base/clock.h"
+#include "routing/endpointlisting.h"
 #include "routing/endpointtable.h"
 
 #include <map>
@@ -71,6 +72,12 @@
     /** @return the endpoints that count as there. */
     std::vector<EndpointRecord> listed() const;
 
+    /** @return what a peer is told: the endpoints on the list, and apart from them those that are only kept. */
+    EndpointListing listing(std::uint64_t version, BootTime now) const;
+
+    /** A peer keeps it for so long though its entry has gone: so does this one, unless it has given it up or never knew it. */
+    std::optional<Absence> keptByPeer(std::string_view id, Duration left, BootTime now);
+
 private:
     struct Entry {
         EndpointRecord record;
--- a/libs/routing/src/endpointlisting.cpp
+++ b/libs/routing/src/endpointlisting.cpp
@@ -43,8 +43,12 @@
     for (const EndpointRecord &record : listing.endpoints) {
         endpoints.push_back(encoded(record));
     }
+    json kept = json::array();
+    for (const KeptEndpoint &endpoint : listing.kept) {
+        kept.push_back({{"r", encoded(endpoint.record)}, {"t", endpoint.left.count()}});
+    }
     std::string bytes;
-    json::to_cbor(json{{"v", listing.version}, {"e", std::move(endpoints)}}, bytes);
+    json::to_cbor(json{{"v", listing.version}, {"e", std::move(endpoints)}, {"k", std::move(kept)}}, bytes);
     return bytes;
 }
 
@@ -56,6 +60,9 @@
         for (const json &record : document.at("e")) {
             listing.endpoints.push_back(decoded(record));
         }
+        for (const json &kept : document.value("k", json::array())) { // Peers of an earlier version don't tell.
+            listing.kept.push_back({.record = decoded(kept.at("r")), .left = Duration(kept.at("t").get<Duration::rep>())});
+        }
         return listing;
     } catch (const json::exception &error) {
         return fail(ErrorCode::BadInput, Verdict::NotRun, std::string("the list of endpoints can't be read: ") + error.what());
--- a/libs/routing/src/endpointroster.cpp
+++ b/libs/routing/src/endpointroster.cpp
@@ -96,6 +96,31 @@
     return next;
 }
 
+EndpointListing EndpointRoster::listing(std::uint64_t version, BootTime now) const
+{
+    EndpointListing listing{.version = version, .endpoints = {}};
+    for (const auto &[id, entry] : entries_) {
+        if (entry.goneAt) {
+            const auto left = std::chrono::ceil<Duration>(std::max(*entry.goneAt - now, BootClock::duration(0)));
+            listing.kept.push_back({.record = entry.record, .left = left});
+        } else {
+            listing.endpoints.push_back(entry.record);
+        }
+    }
+    return listing;
+}
+
+std::optional<Absence> EndpointRoster::keptByPeer(std::string_view id, Duration left, BootTime now)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.goneAt) {
+        return std::nullopt;
+    }
+    heard(now);
+    found->second.goneAt = std::max(now + left, comeBackUntil_);
+    return Absence{.id = found->first, .goneAt = *found->second.goneAt};
+}
+
 std::vector<EndpointRecord> EndpointRoster::listed() const
 {
     std::vector<EndpointRecord> records;
