routing, forward: a stream that goes on is not judged by how long others take to begin

A stream is moved after half a second of silence at the earliest; a begin is noted only while its caller is there. CallerPatienceTest/service_beganItsLatestStreamLate_streamsThatGoOnStayWhereTheyAre is red without this.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -502,7 +502,9 @@
     const bool isEvents = head.headers.value("content-type").starts_with(EventStream);
     isStreamAnswer_ = route_->kind == RouteKind::Stream && isSuccess(head.status) && isEvents;
     if (isStreamAnswer_) {
-        core_.endpoints.streamBegan(service_, heardAt_ - sentAt_, heardAt_);
+        if (heardAt_ < answerDue()) { // Else this process was late, not the service.
+            core_.endpoints.streamBegan(service_, heardAt_ - sentAt_, heardAt_);
+        }
         cutter_.beginNextRun();
     }
 }
--- a/libs/forward/tests/callerpatiencetest.cpp
+++ b/libs/forward/tests/callerpatiencetest.cpp
@@ -151,6 +151,44 @@
     BOOST_TEST(endpoint.requests() == 1);
 }
 
+// Guards against streams that go on well being cancelled and begun anew since the service's latest first event came late.
+BOOST_AUTO_TEST_CASE(service_beganItsLatestStreamLate_streamsThatGoOnStayWhereTheyAre)
+{
+    addStreaming();
+    call(streamRequest("r1"));
+    call(streamRequest("r2"));
+    runPasses(EventInterval);
+    addStreaming().isFull = true;
+    call(streamRequest("r3"));
+    const MonoTime begins = MonoClock::now() + Duration(1650);
+    while (MonoClock::now() < begins) {
+        runPasses(EventInterval);
+    }
+    BOOST_REQUIRE(streamsAt(0) == 2);
+    BOOST_REQUIRE(streamsAt(1) == 1);
+    served[1]->peer->sendOnAll(streamHead("r3") + eventChunk(1));
+    runPasses(8 * EventInterval);
+    BOOST_TEST(streamsAt(0) + streamsAt(1) == 3);
+}
+
+// Guards against an endpoint that works on one long request being passed over while others fill up.
+BOOST_AUTO_TEST_CASE(endpoint_worksOnALongRequest_isTakenByLoadAllTheSame)
+{
+    putRoutes(2);
+    const RawPeer &busy = addEndpoint([](int) -> RawPeer::Answer { return {}; });
+    call(request("once"));
+    runFor(EventInterval);
+    addEndpoint([](int number) -> RawPeer::Answer { return {.bytes = number == 1 ? wholeAnswer(200, "r1", "x") : ""}; });
+    (void)answerTo(request("once"), "\r\n\r\nx");
+    runFor(3 * EventInterval);
+    constexpr int Further = 6;
+    for (int count = 0; count < Further; ++count) {
+        call(request("once"));
+        runFor(EventInterval / 5);
+    }
+    BOOST_TEST(busy.requests() >= Further / 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::forward
--- a/libs/routing/src/sendingoutlook.cpp
+++ b/libs/routing/src/sendingoutlook.cpp
@@ -15,6 +15,9 @@
 // First events take longer than the shortest of them: a stream that is stuck is moved so long before a sending is of no use any more.
 constexpr Duration MoveLead{200};
 
+// What has begun goes on in passes, and what was just sent may wait for one; only a longer silence tells that a stream is stuck.
+constexpr Duration LeastSilence{500};
+
 // Endpoints differ in how long requests wait there; one that is overtaken by so much is stuck.
 constexpr Duration OvertakenBy{1000};
 
@@ -35,7 +38,7 @@
         return state.heardAt;
     }
     if (isStream()) {
-        return std::max(latestSending(now) - MoveLead, state.sentAt + MoveLead);
+        return std::max(latestSending(now) - MoveLead, state.heardAt + LeastSilence);
     }
     if (options_.route.kind == RouteKind::Idempotent && options_.route.latencyObjective.count() > 0) {
         return state.sentAt + ObjectivesBeforeRepeat * options_.route.latencyObjective;
--- a/libs/routing/tests/sendingoutlooktest.cpp
+++ b/libs/routing/tests/sendingoutlooktest.cpp
@@ -78,6 +78,17 @@
     BOOST_TEST((moved > came + 1s));
 }
 
+// Guards against streams that go on being moved at their next pause, since the service takes long to begin others.
+BOOST_AUTO_TEST_CASE(stream_goesOnWhileOthersBeginSlowly_isLeftAlone)
+{
+    const BootTime now = came + 1s;
+    table.streamBegan("s", 1800ms, now);
+    bounds.eventSent(now);
+    state.hasAnswer = true;
+    state.heardAt = now;
+    BOOST_TEST((outlook().patienceEnds(state, now) >= now + 400ms));
+}
+
 BOOST_AUTO_TEST_CASE(sending_isNotConnected_isGivenUpAfterTheConnectTimeout)
 {
     state.isConnected = false;
