forward, routing: an endpoint is in doubt only while it is asked for a sign of life

Found by a review: any request that took over 0.3 s put its endpoint in doubt, also on plain services, and an answered check did not lift it. The watch now marks an endpoint as it begins a check and clears it with the answer.

CallerPatienceTest/endpoint_worksOnALongRequest_isTakenByLoadAllTheSame was red before (1 of 6 requests).

--- a/libs/forward/src/silencewatch.cpp
+++ b/libs/forward/src/silencewatch.cpp
@@ -11,7 +11,8 @@
 namespace
 {
 
-// Of an endpoint whose peers are silent too.
+// After which an endpoint is asked for a sign of life while its peers speak, and while all are silent.
+constexpr Duration SilenceBesidePeers{300};
 constexpr Duration SilenceOfAll{1000};
 
 constexpr Duration AnswerTime{250};
@@ -100,7 +101,11 @@
 /** @return true if it was marked. */
 bool SilenceWatch::unmarkSilent(const Watched &watched)
 {
-    const bool wasSilent = watched.endpoint != nullptr && std::exchange(watched.endpoint->isSilent, false);
+    if (watched.endpoint == nullptr) {
+        return false;
+    }
+    watched.endpoint->isInDoubt = false;
+    const bool wasSilent = std::exchange(watched.endpoint->isSilent, false);
     if (wasSilent) {
         metrics_.silentEndpoints.add(-1);
     }
@@ -125,8 +130,8 @@
     if (endpoint.limit.isStated()) {
         return false; // A check would count against it.
     }
-    const bool isSuspected = endpoints_.isInDoubt(endpoint, now) || now - endpoint.silentSince() >= SilenceOfAll;
-    return isSuspected && now - watched.checkedAt >= CheckInterval;
+    const Duration patience = endpoints_.isPassedOver(endpoint) ? SilenceBesidePeers : SilenceOfAll;
+    return now - endpoint.silentSince() >= patience && now - watched.checkedAt >= CheckInterval;
 }
 
 void SilenceWatch::check(Watched &watched, BootTime now)
@@ -134,6 +139,7 @@
     const std::string &id = watched.endpoint->record.id;
     watched.checkedAt = now;
     watched.isChecking = true;
+    watched.endpoint->isInDoubt = true;
     metrics_.livenessChecks.add();
     if (watched.client == nullptr) {
         watched.client = std::make_unique<http::HttpClient>(loop_, http::HttpClient::Options{.address = watched.endpoint->record.address, .maxConnections = 1});
@@ -151,6 +157,7 @@
     const BootTime now = BootClock::now();
     noteDelay(now);
     watched.isChecking = false;
+    watched.endpoint->isInDoubt = false;
     // One that refuses the connection or closes it is within reach; its requests learn of its end by themselves.
     const bool isLate = !answer && answer.error().code == ErrorCode::DeadlineExceeded;
     if (!isLate) {
--- a/libs/forward/tests/silentendpointtest.cpp
+++ b/libs/forward/tests/silentendpointtest.cpp
@@ -40,6 +40,24 @@
     BOOST_TEST(streamsAt(0) == before);
 }
 
+// Guards against new requests being sent to an endpoint that has just missed what its peers said, before it is found silent.
+BOOST_AUTO_TEST_CASE(endpoint_missesAPassOfItsPeers_newStreamsGoElsewhereBeforeTheCheckHasEnded)
+{
+    constexpr Duration LongPass{400};
+    constexpr Duration UntilChecked{100}; // The check itself takes longer.
+    beginOneAtEachOfTwo();
+    call(streamRequest("r3"));
+    runPasses(EventInterval);
+    const std::size_t idler = streamsAt(0) < streamsAt(1) ? 0 : 1;
+    served[idler]->isSilent = true;
+    runFor(LongPass);
+    pass();
+    runFor(UntilChecked);
+    call(streamRequest("r4"));
+    runFor(UntilChecked);
+    BOOST_TEST(streamsAt(idler) == 1);
+}
+
 // Guards against an endpoint that was silent for a while being left out for good.
 BOOST_AUTO_TEST_CASE(endpoint_speaksAgain_isSentNewStreams)
 {
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -54,6 +54,7 @@
     BootTime avoidUntil; ///< Taken before that only if there is no other.
     std::uint32_t group = 0; ///< Endpoints that were seen to refuse for one another's sake; 0: none seen.
     BootTime refusesUntil; ///< Its group does not run; the epoch if it does as far as is known.
+    bool isInDoubt = false; ///< Nothing came from it for too long, and it is being asked for a sign of life.
     bool isSilent = false; ///< It gave no sign of life when it was asked for one; taken only if there is no other.
     BootTime begunSentAt; ///< When the latest sent of the requests was sent whose answers have begun.
     BootTime heardAt; ///< When something last came from it.
@@ -161,9 +162,6 @@
     /** Others of its service were heard well after it. Only with a request in progress there. */
     bool isPassedOver(const Endpoint &endpoint) const;
 
-    /** The same for so long that it may be out of reach. */
-    bool isInDoubt(const Endpoint &endpoint, BootTime now) const;
-
     /** Something came from it. */
     void heard(Endpoint &endpoint, BootTime now);
 
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -38,9 +38,6 @@
 // Two words further apart than this are of different passes of a group.
 constexpr Duration SamePass{50};
 
-// An endpoint with requests in progress from which nothing comes for so long while its peers speak may be out of reach.
-constexpr Duration SilenceBesidePeers{300};
-
 // Part of an endpoint's places that all entries together may fill with streams that have not begun: the next ones begin without a gap, and few wait
 // where nobody can recall them once the endpoint is out of reach.
 constexpr std::uint32_t UnbegunParts = 4;
@@ -123,7 +120,7 @@
     }
     const bool meetsSuspect = request.isSuspect && endpoint.suspects > 0;
     const bool isAvoided = now < std::max(endpoint.avoidUntil, endpoint.refusesUntil);
-    if (meetsSuspect || isAvoided || isInDoubt(endpoint, now)) {
+    if (meetsSuspect || isAvoided || endpoint.isInDoubt) {
         return Reluctance::Avoided;
     }
     return hasShareUnbegun(endpoint) ? Reluctance::Behind : Reluctance::None;
@@ -251,11 +248,6 @@
     return serviceHeardAt(endpoint.record.service) > endpoint.silentSince() + SamePass;
 }
 
-bool EndpointTable::isInDoubt(const Endpoint &endpoint, BootTime now) const
-{
-    return endpoint.inFlight > 0 && now - endpoint.silentSince() >= SilenceBesidePeers && isPassedOver(endpoint);
-}
-
 void EndpointTable::heard(Endpoint &endpoint, BootTime now)
 {
     endpoint.heardAt = now;
