forward: a stream that has begun is cut before its caller leaves only where no cancel would arrive

An engine's silence is no reason to end an answer sooner: at an endpoint within reach the stream may still go on, and hears at once when its caller leaves. Out of reach it is cut just before, so that its caller can resume it.

A caller that reads slowly is given its time also if its endpoint breaks meanwhile; a request whose caller's end has come but can't be read yet keeps its timer.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -263,8 +263,8 @@
     if (endsAsQuarantined()) {
         return;
     }
-    if (sink_->hasCallerLeft()) {
-        timer_.stop(); // A process that is late may read the request and the caller's end together.
+    if (sink_->hasCallerLeft()) { // A process that is late may read the request and the caller's end together.
+        startTimer();
         return;
     }
     const BootTime now = BootClock::now();
@@ -336,8 +336,9 @@
         isUnbegun_ = true;
         ++endpoint->unbegun;
         core_.silence.began(endpoint, this, [moving = weak_from_this()] {
-            if (const auto self = moving.lock()) {
-                (void)self->leaveSilent("endpoint silent");
+            const auto self = moving.lock();
+            if (self != nullptr && self->call_ != nullptr && !self->leaveSilent("endpoint silent")) {
+                self->startTimer(); // An answer may be due sooner now.
             }
         });
     }
@@ -592,13 +593,15 @@
 
 void Forwarding::callerDrained()
 {
-    if (!std::exchange(isHeldBack_, false) || call_ == nullptr) {
+    if (!std::exchange(isHeldBack_, false)) {
         return;
     }
     heardAt_ = BootClock::now(); // The silence was the caller's.
     bounds_.eventSent(heardAt_);
-    call_->setReading(true);
-    startTimer();
+    if (call_ != nullptr) {
+        call_->setReading(true);
+        startTimer();
+    }
 }
 
 void Forwarding::callEnded(CallEnd end)
@@ -803,12 +806,14 @@
 /** @return when the caller has to be told something, or it leaves. */
 BootTime Forwarding::answerDue() const
 {
-    return isHeldBack_ ? bounds_.deadline() : bounds_.nextEventDue();
+    // A stream that has begun at an endpoint within reach can be called back when its caller leaves, and may go on until then.
+    const bool mayGoOn = isStreaming_ && call_ != nullptr && !endpoint_->isSilent;
+    return isHeldBack_ || mayGoOn ? bounds_.deadline() : bounds_.nextEventDue();
 }
 
 BootTime Forwarding::latestSending() const
 {
-    return outlook().latestSending(BootClock::now());
+    return isHeldBack_ ? bounds_.deadline() : outlook().latestSending(BootClock::now());
 }
 
 std::string_view Forwarding::overdueCause() const
