forward: a stream that waits for a place is let in as soon as the one ahead begins

StreamTest/streams_pauseTooLongUnderLoad_furtherOnesAreRefusedAsNotRun failed twice beside builds (one endpoint, eight streams). Cause: the queue looked for an opening each 20 ms, so that the eighth of them waited 136 ms on a quiet machine, of 150 that it waits at most. It is now woken when a stream begins.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -897,6 +897,7 @@
 {
     if (std::exchange(isUnbegun_, false)) {
         --endpoint_->unbegun;
+        places_->opened();
     }
 }
 
--- a/libs/forward/src/placequeue.h
+++ b/libs/forward/src/placequeue.h
@@ -54,6 +54,12 @@
     void ended()
     {
         --inProgress_;
+        opened();
+    }
+
+    /** An endpoint may be sent one more. */
+    void opened()
+    {
         if (!waiting_.empty()) {
             timer_.start(Duration(0)); // Not from within a call of its owner.
         }
