entry: an agent that is only cut off is told to stop also if the request is not tried again

The same promise on the product's own path: a booking whose agent was lost got its final answer, and the agent was not told that nobody waits any more, as it is where the request is tried again. RequestTrackerTest's booking_peerLost_cancelIsOwedToItsAgent is red without this.

--- a/libs/entry/src/requesttracker.cpp
+++ b/libs/entry/src/requesttracker.cpp
@@ -277,14 +277,14 @@
     const RetryReason reason = state_ == State::Choosing ? RetryReason::Unsent : retryReasonOf(failure);
     present().verdict = failure.verdict;
     rememberRefusal(failure);
-    if (!mayTryAgain(failure, status, now)) {
-        conclude(std::move(failure), actions);
-        return;
-    }
     if (failure.verdict != Verdict::NotRun && state_ == State::Stranded) {
         // The attempt may go on at an agent that is only cut off from here; tell it once it can be reached.
         cancelPresent(actions);
     }
+    if (!mayTryAgain(failure, status, now)) {
+        conclude(std::move(failure), actions);
+        return;
+    }
     choose(reason, actions);
 }
 
--- a/libs/entry/tests/requesttrackertest.cpp
+++ b/libs/entry/tests/requesttrackertest.cpp
@@ -298,6 +298,16 @@
     BOOST_TEST(all<ChooseEndpoint>().size() == 1U);
 }
 
+// Guards against an agent that was only cut off working on for a caller that has its final answer.
+BOOST_FIXTURE_TEST_CASE(booking_peerLost_cancelIsOwedToItsAgent, BookingFixture)
+{
+    dispatch();
+    tracker.linkDown(FirstLink);
+    tracker.peerLost("engine-1", now, actions);
+    BOOST_TEST(ended());
+    BOOST_TEST(all<SendCancel>().size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(stream_peerLost_resumesElsewhereAndCancelsTheOldAttempt, Fixture)
 {
     dispatch();
