forward: the time of a request that comes behind another counts from when it came

A caller that sends two requests at once stated a time for each; the second's was counted from the first's end, so that it was kept past its caller's deadline.

--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -84,6 +84,9 @@
 void CallerSession::received(std::string_view bytes)
 {
     const auto self = shared_from_this();
+    if (forwarding_ != nullptr && backlog_.empty()) {
+        backlogBegan_ = BootClock::now();
+    }
     backlog_.append(bytes);
     if (forwarding_ != nullptr) {
         if (backlog_.size() > MostBacklogBytes) {
@@ -98,7 +101,7 @@
 {
     while (forwarding_ == nullptr && !hasEnded_ && connection_->isOpen() && !backlog_.empty()) {
         if (!parser_.hasBegun()) {
-            requestBegan_ = BootClock::now();
+            requestBegan_ = std::exchange(backlogBegan_, std::nullopt).value_or(BootClock::now());
             timer_.start(limits().headerTimeout);
         }
         const std::size_t taken = parser_.feed(backlog_, [this](std::string_view piece) { body_.append(piece); });
@@ -119,6 +122,7 @@
             return;
         }
         if (parser_.isComplete()) {
+            backlogBegan_ = backlog_.empty() ? std::nullopt : std::optional(BootClock::now());
             takeRequest();
         }
     }
--- a/libs/forward/src/callersession.h
+++ b/libs/forward/src/callersession.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -66,6 +67,7 @@
     http::Timer timer_; ///< Of the head that is being read, or of idleness.
     std::string backlog_; ///< Received behind the request in progress.
     std::string body_;
+    std::optional<BootTime> backlogBegan_; ///< When its first byte came; nothing if it began while no request was in progress.
     BootTime requestBegan_;
     bool isHeadChecked_ = false;
     bool isHead_ = false; ///< The request in progress is a HEAD.
--- a/libs/forward/tests/callerpatiencetest.cpp
+++ b/libs/forward/tests/callerpatiencetest.cpp
@@ -189,6 +189,23 @@
     BOOST_TEST(busy.requests() >= Further / 2);
 }
 
+// Guards against the time of a request that came behind another being counted only from the other's end.
+BOOST_AUTO_TEST_CASE(caller_sendsTwoRequestsAtOnce_secondIsAnsweredWithinItsOwnDeadline)
+{
+    int requests = 0;
+    addEndpoint([&requests](int) -> RawPeer::Answer {
+        const std::string stream = streamHead("r1") + eventChunk(1);
+        return {.bytes = ++requests == 1 ? stream : std::string()};
+    });
+    const std::string second = "GET /long/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r2\r\nX-Request-Timeout-Ms: 1500\r\n\r\n";
+    const RawCaller &caller = call(streamRequest("r1") + second);
+    runFor(Duration(1000));
+    endpoints.front()->sendOnAnswered(LastChunk);
+    runFor(Duration(700));
+    BOOST_REQUIRE(requests == 2);
+    BOOST_TEST(caller.received().find("HTTP/1.1 504") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::forward
--- a/libs/routing/include/routing/callerbounds.h
+++ b/libs/routing/include/routing/callerbounds.h
@@ -20,7 +20,7 @@
  * Until when an answer still finds the caller of one request.
  *
  * A caller leaves at the deadline that it states, at the latest when its route's timeout is over, and leaves a stream also after a gap without an
- * event, be it the first. All times hold back a margin, so that an answer sent then still arrives. A value type, as long-lived as its request.
+ * event, be it the first. Stated deadline and gap hold back a margin, so that an answer sent then still arrives. A value type, as long-lived as its request.
  *
  * @code
  * CallerBounds bounds({.receivedAt = now, .stated = Duration(8000)});
