forward: a stream that an endpoint out of reach still holds is cut before its caller leaves

A request that was moved away from an endpoint out of reach is beyond recall, and is ended in time wherever it is now.

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -806,8 +806,8 @@
 /** @return when the caller has to be told something, or it leaves. */
 BootTime Forwarding::answerDue() const
 {
-    // A stream that has begun at an endpoint within reach can be called back when its caller leaves, and may go on until then.
-    const bool mayGoOn = isStreaming_ && call_ != nullptr && !endpoint_->isSilent;
+    // A stream that has begun and is only where it can be called back when its caller leaves may go on until then.
+    const bool mayGoOn = isStreaming_ && call_ != nullptr && !endpoint_->isSilent && !isBeyondRecall_;
     return isHeldBack_ || mayGoOn ? bounds_.deadline() : bounds_.nextEventDue();
 }
 
@@ -849,6 +849,7 @@
     }
     core_.connections.closeAll(endpoint_->record.id);
     mayHaveRun_ = true;
+    isBeyondRecall_ = isBeyondRecall_ || endpoint_->isSilent;
     core_.metrics.retries.add();
     hasRetried_ = true;
     logCancel(cause);
--- a/libs/forward/src/forwarding.h
+++ b/libs/forward/src/forwarding.h
@@ -159,6 +159,7 @@
     HeldAnswer incoming_;
     std::optional<HeldAnswer> fallback_; ///< An endpoint's failure, passed on if nothing better comes.
 
+    bool isBeyondRecall_ = false; ///< An endpoint out of reach still holds it.
     bool isHeldBack_ = false; ///< The endpoint is not read until the caller has taken more.
     bool isStreaming_ = false; ///< The caller has the head of a stream.
     bool isStreamAnswer_ = false; ///< The call's answer is a stream of events.
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -151,6 +151,22 @@
     BOOST_TEST(choices(100)["a"] == 100);
 }
 
+// Guards against new work crowding at whichever endpoint speaks first after a long pass, since its sound peers are taken for silent until their word comes.
+BOOST_AUTO_TEST_CASE(endpoint_firstOfItsPeersToSpeak_isNotTheOnlyOneTaken)
+{
+    for (const char *id : {"a", "b", "c"}) {
+        const EndpointPointer endpoint = table.find(id);
+        table.sendingTo(*endpoint, Now - 2s, random);
+        endpoint->inFlight = 1;
+        table.heard(*endpoint, Now - 500ms);
+    }
+    table.heard(*table.find("b"), Now); // The words of one pass come within a few milliseconds.
+    const auto chosen = choices(300);
+    BOOST_TEST(chosen.size() == 3U);
+    table.find("b")->unbegun = 1;
+    BOOST_TEST(table.hasOpening("s", Now, random));
+}
+
 // Guards against streams being let in for an endpoint that is avoided, and then queueing at another one.
 BOOST_AUTO_TEST_CASE(opening_onlyAnAvoidedEndpointHasNoneToBegin_isNone)
 {
