forward: a stream is moved only where it begins next

CallerPatienceTest/endpoint_fallsSilentWithManyStreams_noMoreAreMovedThanOneThatBeginsNext: red without this (5, 2 allowed).

--- a/libs/forward/src/forwarding.cpp
+++ b/libs/forward/src/forwarding.cpp
@@ -828,7 +828,11 @@
     if (call_ == nullptr || !outlook().isLeftBehind(sendingState())) {
         return false;
     }
-    const bool isInTime = BootClock::now() < latestSending();
+    const BootTime now = BootClock::now();
+    const bool isInTime = now < latestSending();
+    if (isInTime && route_->kind == RouteKind::Stream && !core_.endpoints.hasOpening(service_, now, core_.random)) {
+        return false; // It would only wait behind others elsewhere; looked at again soon.
+    }
     if (isInTime && moveElsewhere(cause)) {
         return true;
     }
--- a/libs/forward/tests/callerpatiencetest.cpp
+++ b/libs/forward/tests/callerpatiencetest.cpp
@@ -206,6 +206,25 @@
     BOOST_TEST(caller.received().find("HTTP/1.1 504") != std::string::npos);
 }
 
+// Guards against all streams of an endpoint out of reach being sent at once to one where none of them begins.
+BOOST_AUTO_TEST_CASE(endpoint_fallsSilentWithManyStreams_noMoreAreMovedThanOneThatBeginsNext)
+{
+    addStreaming();
+    for (const char *id : {"r1", "r2", "r3", "r4"}) {
+        call(streamRequest(id));
+        runPasses(2 * EventInterval);
+    }
+    BOOST_REQUIRE(streamsAt(0) == 4);
+    addStreaming();
+    call(streamRequest("r5"));
+    runPasses(2 * EventInterval);
+    BOOST_REQUIRE(streamsAt(1) == 1);
+    served[1]->isFull = true;
+    served[0]->isSilent = true;
+    runPasses(10 * EventInterval);
+    BOOST_TEST(streamsAt(1) <= 2); // One for each entry and endpoint may wait there.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::forward
