group, platform: the group library decides about terms, the adapter only writes and reads rows

The adapter chose the next term and judged whether a write was of the history that had been read; it is to translate.

--- a/libs/forward/tests/callerpatiencetest.cpp
+++ b/libs/forward/tests/callerpatiencetest.cpp
@@ -124,8 +124,7 @@
     BOOST_REQUIRE(streamsAt(1) == 2);
     served[0]->isSilent = true;
     runPasses(CallerPatience / 2);
-    const auto answered =
-        std::count_if(waiting.begin(), waiting.end(), [](const Waiting &one) { return one.caller->received().starts_with("HTTP/1.1 504"); });
+    const auto answered = std::count_if(waiting.begin(), waiting.end(), [](const Waiting &one) { return one.caller->received().starts_with("HTTP/1.1 504"); });
     BOOST_TEST(answered == 1);
 }
 
--- a/libs/group/include/group/engineport.h
+++ b/libs/group/include/group/engineport.h
@@ -63,10 +63,10 @@
     virtual ~GroupStore() = default;
     virtual void readCoordinator(const std::string &group, std::function<void(Result<CoordinatorRow>)> done) = 0;
 
-    /** Takes the row if its version is still that one. @return the new term, higher than the row's, or nothing if another was first. */
+    /** Writes the next row in place of the one that was read, if that still stands. @return its version, or nothing if another was first. */
     virtual void takeCoordinator(const std::string &group,
-                                 const CoordinatorRow &row,
-                                 const std::string &holder,
+                                 const CoordinatorRow &read,
+                                 const CoordinatorRow &next,
                                  std::function<void(Result<std::optional<std::uint64_t>>)> done) = 0;
     virtual void listMembers(std::function<void(Result<std::vector<MemberAddress>>)> done) = 0;
 };
--- /dev/null
+++ b/libs/group/src/coordinatorterm.cpp
@@ -0,0 +1,29 @@
+#include "group/coordinatorterm.h"
+
+#include "store/storeversion.h"
+
+#include <algorithm>
+
+namespace magnolia::group
+{
+
+namespace
+{
+
+// Coordinators of one era. With the era and the versions made of a term it stays below the integers that a JSON number holds exactly.
+constexpr unsigned TermBits = 24;
+
+} // namespace
+
+CoordinatorRow successorOf(const CoordinatorRow &read, std::uint64_t followed, const std::string &holder)
+{
+    const std::uint64_t firstOfEra = store::eraOf(read.version) << TermBits;
+    return {.term = std::max({read.term + 1, followed + 1, firstOfEra}), .holder = holder, .version = 0};
+}
+
+bool isOfSameHistory(const CoordinatorRow &read, std::uint64_t writtenVersion)
+{
+    return store::eraOf(writtenVersion) == store::eraOf(read.version);
+}
+
+} // namespace magnolia::group
--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "coordinator.h"
+#include "group/coordinatorterm.h"
 #include "groupcodec.h"
 #include "http/socketaddress.h"
 #include "http/timer.h"
@@ -450,14 +451,13 @@
     if (hasChanged && row.term > 0 && row.holder != options_.instance) {
         return; // Somebody has just taken it, and will be heard of soon.
     }
-    CoordinatorRow known = row;
-    known.term = std::max(row.term, term_); // A store that returned from an older copy may not know the latest term.
+    const CoordinatorRow next = successorOf(row, term_, options_.instance);
     store_.takeCoordinator(
-        state_->group, known, options_.instance, guarded<Result<std::optional<std::uint64_t>>>([this](Result<std::optional<std::uint64_t>> term) {
-            if (!term) {
-                log()->warn("The coordinator's row can't be taken cause={}", term.error().detail);
-            } else if (*term && **term > term_) {
-                becomeCoordinator(**term);
+        state_->group, row, next, guarded<Result<std::optional<std::uint64_t>>>([this, row, next](Result<std::optional<std::uint64_t>> version) {
+            if (!version) {
+                log()->warn("The coordinator's row can't be taken cause={}", version.error().detail);
+            } else if (*version && isOfSameHistory(row, **version) && next.term > term_) {
+                becomeCoordinator(next.term);
             }
         }));
 }
--- a/libs/group/tests/grouptasktest.cpp
+++ b/libs/group/tests/grouptasktest.cpp
@@ -210,16 +210,16 @@
         done(row);
     }
     void takeCoordinator(const std::string & /*group*/,
-                         const CoordinatorRow &known,
-                         const std::string &holder,
+                         const CoordinatorRow &read,
+                         const CoordinatorRow &next,
                          std::function<void(Result<std::optional<std::uint64_t>>)> done) override
     {
-        if (known.version != row.version) {
+        if (read.version != row.version) {
             done(std::optional<std::uint64_t>());
             return;
         }
-        row = {.term = known.term + 10, .holder = holder, .version = row.version + 1};
-        done(std::optional(row.term));
+        row = {.term = next.term, .holder = next.holder, .version = row.version + 1};
+        done(std::optional(row.version));
     }
     void listMembers(std::function<void(Result<std::vector<MemberAddress>>)> done) override
     {
