--- a/cmake/testmain.cpp
+++ b/cmake/testmain.cpp
@@ -1,3 +1,3 @@
-// The one source of each test program that defines main(); the tests are in the other sources.
+// Defines main() of all test programs.
 #define BOOST_TEST_MODULE magnolia
 #include <boost/test/unit_test.hpp>
