--- a/libs/entry/tests/requesttrackertest.cpp
+++ b/libs/entry/tests/requesttrackertest.cpp
@@ -129,11 +129,9 @@
     BOOST_TEST((end().verdict == Verdict::Ran));
 }
 
+// Guards against an answer with a piece missing, twice or in the wrong place, when pieces come in any order and twice.
 BOOST_AUTO_TEST_CASE(answer_chunksAndFinishInAnyOrderAndDoubled_isDeliveredOnceInOrder)
 {
-    // Symptom: an answer with a piece missing, twice or in the wrong place.
-    // Sequence: five chunks and the end, each sent twice, arrive in any order (here 500 orders drawn by seed).
-    // Cause: pieces handed on as they come, or the end taken for the end of what has come so far.
     std::mt19937 random(7);
     for (int round = 0; round < 500; ++round) {
         std::vector<int> events{0, 1, 2, 3, 4, 5, 0, 1, 2, 3, 4, 5};
@@ -197,11 +195,9 @@
     BOOST_TEST((end().verdict == Verdict::NotRun));
 }
 
+// Guards against a booking that is made twice, since a failure without proof is taken for "not run".
 BOOST_FIXTURE_TEST_CASE(booking_mayHaveRun_isNeverDispatchedAgain, BookingFixture)
 {
-    // Symptom: two rival trucks at one door.
-    // Sequence: the agent takes the booking, its connection to the service breaks, the entry tries another endpoint.
-    // Cause: a failure without proof was taken for "not run".
     for (const char *code : {"connection_lost", "endpoint_error", "unavailable", "internal", "a code from a newer version"}) {
         BookingFixture fixture;
         fixture.dispatch();
@@ -219,11 +215,9 @@
     BOOST_TEST((all<ChooseEndpoint>()[1].reason == RetryReason::Moved));
 }
 
+// Guards against a piece that comes twice or is missing after a failover, by a rerun from elsewhere or late chunks of the dead attempt.
 BOOST_FIXTURE_TEST_CASE(stream_engineDied_resumesAfterLastChunkGivenOut, Fixture)
 {
-    // Symptom: a piece of the answer comes twice or is missing after a failover.
-    // Sequence: chunks 0, 1 and 3 came, the engine dies; a late chunk 2 of the dead attempt comes during the rerun.
-    // Cause: a rerun that begins elsewhere than at the caller's last piece, or late chunks mixed into it.
     dispatch();
     chunk(0);
     chunk(1);
@@ -268,11 +262,9 @@
     BOOST_TEST((tracker.verdict() == Verdict::NotRun));
 }
 
+// Guards against "not run" being told for a booking that ran, since the agent's new incarnation knows nothing of it.
 BOOST_FIXTURE_TEST_CASE(booking_agentRestarted_isMayHaveRun, BookingFixture)
 {
-    // Symptom: "not run" is told for a booking that stands in the records.
-    // Sequence: booking sent, agent killed after it ran, new agent knows nothing of it and says "not run".
-    // Cause: the new incarnation's ignorance was taken for proof about the old one.
     dispatch();
     breakLinkAndReturnAs(SecondIncarnation);
     BOOST_TEST(all<SendQuery>().empty());
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-// A line costs some ten microseconds; an entry at its limit of some hundred requests a second stays under 1% with this.
+// Bounds what logging takes of the processor when most requests fail.
 constexpr std::uint32_t LinesPerSecond = 150;
 
 std::shared_ptr<spdlog::logger> log()
--- a/libs/forward/tests/endpointlisttest.cpp
+++ b/libs/forward/tests/endpointlisttest.cpp
@@ -47,10 +47,9 @@
     BOOST_TEST(list.version() == 11U);
 }
 
+// Guards against an endpoint that has left coming back by the store's answer to a question put before a peer told of its leaving.
 BOOST_AUTO_TEST_CASE(answers_olderThanWhatAPeerTold_areNotTaken)
 {
-    // Found by thinking it through, not seen in operation. Symptom: an endpoint that had left is there again. Sequence: a peer
-    // tells of its leaving; then comes the store's answer to a question put before. Cause: whichever comes last is believed.
     EndpointList peer(loop.get(), notes, {});
     peer.takeAll({.version = 20, .endpoints = {recordOf("b")}});
     notes.told.clear();
--- a/libs/group/tests/grouptasktest.cpp
+++ b/libs/group/tests/grouptasktest.cpp
@@ -300,30 +300,26 @@
     BOOST_TEST(holders >= 2U);
 }
 
+// Guards against coordinators that end one after the other, since a first epoch with the number 0 is not taken for new.
 BOOST_AUTO_TEST_CASE(group_openInEpochZero_mapIsChanged)
 {
-    // Symptom: coordinators ended one after the other. Sequence: a group was open in its first epoch, and that had the number
-    // 0. Cause: an epoch was taken for new only if its number was another than 0.
     group.epoch = 0;
     BOOST_TEST(runUntil([this] { return group.map() != 0; }));
     BOOST_TEST(!group.isSplit());
 }
 
+// Guards against a map that is never changed again, since the first state of a new epoch was read after an order and the experts of the old one are kept.
 BOOST_AUTO_TEST_CASE(group_formsAnewWhileAnOrderIsGiven_mapIsChangedAgain)
 {
-    // Symptom: a group's map was never changed again. Sequence: an engine started again while its agent gave it an order; the
-    // state read after the order was the first of the new epoch. Cause: only the look at the engine that is made now and then
-    // forgot the experts known of the epoch before, and after an order the epoch was no news to it any more.
     group.formsAnewOnOrder = true;
     BOOST_REQUIRE(runUntil([this] { return group.epoch == 2; }));
     BOOST_TEST(runUntil([this] { return group.map() != 0; }));
     BOOST_TEST(!group.isSplit());
 }
 
+// Guards against maps that are no longer changed after a coordinator has ended, since no agent can take its place.
 BOOST_AUTO_TEST_CASE(coordinator_dies_anotherTakesOverAndChangesTheMap)
 {
-    // Symptom: maps were no longer changed after all instances had been restarted. Sequence: the coordinator's process ended,
-    // and whoever asked for its row read it as absent. Cause: no agent could take its place.
     BOOST_REQUIRE(runUntil([this] { return group.map() != 0; }));
     const std::uint64_t term = store.row.term;
     agents[coordinator()].reset();
@@ -340,8 +336,7 @@
     BOOST_TEST(!group.isSplit());
 }
 
-// Symptom: an agent's process would end by a division by zero. Sequence: its engine reports a group of no ranks, and no coordinator is heard of. Cause:
-// whose turn it is was worked out by a remainder of the size as reported.
+// Guards against a division by zero when an engine reports a group of no ranks and no coordinator is heard of.
 BOOST_AUTO_TEST_CASE(engine_reportsAGroupOfNoRanks_agentGoesOn)
 {
     group.reportedSize = 0;
@@ -352,9 +347,7 @@
     BOOST_TEST(!group.isSplit());
 }
 
-// Symptom: a coordinator that was lost was replaced by several in turn, each of which undid what the last had begun, and every agent of the group asked
-// the store. Sequence: all agents waited for the same time and a random part more; the first had the row, but its word reached the others after theirs had
-// ended. Cause: nothing said whose turn it was.
+// Guards against a lost coordinator being replaced by several in turn, each of which undoes what the last has begun.
 BOOST_AUTO_TEST_CASE(coordinator_dies_onlyTheNextRankAsksTheStore)
 {
     BOOST_REQUIRE(runUntil([this] { return group.map() != 0; }));
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -31,8 +31,7 @@
 // Addresses of endpoints at fault that are remembered: far more than fail while any of them matters.
 constexpr std::size_t MostFaults = 1000;
 
-// A group forms again some 600 ms after its last rank is back: asked for every 200 ms it is found soon, at the price of one
-// refused request for each entry and time.
+// Each trial of a group that does not run yet costs a refused request, and each pause delays all who wait for it.
 constexpr Duration GroupPause{200};
 
 // Two words further apart than this are of different passes of a group.
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -50,10 +50,9 @@
     }
 }
 
+// Guards against an endpoint that is back staying without requests, since what its earlier run did is held against it.
 BOOST_AUTO_TEST_CASE(endpoint_startsAgainUnderItsId_nothingOfBeforeHolds)
 {
-    // Symptom: an engine that was back stayed without requests for seconds. Sequence: it failed, crashed with requests in
-    // progress, and registered again under its id. Cause: failures, load and requests of its earlier run were held against it.
     EndpointRecord record{.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .incarnation = 1000};
     table.put(record);
     const EndpointPointer before = table.find("a");
@@ -217,10 +216,9 @@
     BOOST_TEST(!choices(50).contains("none"));
 }
 
+// Guards against requests that give up after two ranks of one group, all of which refuse while it forms anew.
 BOOST_AUTO_TEST_CASE(endpoint_refusesForAPeer_wholeGroupIsPassedOverUntilOneAnswers)
 {
-    // Symptom: callers were refused by an entry that was otherwise well. Sequence: a group of engines formed anew after all
-    // power was lost, and every rank refused meanwhile. Cause: each request tried two ranks of the same group and gave up.
     for (const char *id : {"a", "b", "c"}) {
         table.put({.id = id, .service = "s", .address = std::string(id) + ":80", .dataCentre = "north", .slots = 4});
     }
