forward: a caller that disconnects unread is noticed

What callers saw: nothing; their endpoints kept working for them. A caller that sent over 64 KiB behind its request was not read any more, so that the close of its connection was not seen and its request went on.

Cause: reading is paused by removing the read event, and the loop tells nothing else about the connection. Ruled out: an event for the early close alone, since libevent's epoll reports an error as readable and writable, which such an event does not receive, so that the loop would spin.

While reading is paused during a request, the session asks each 100 ms whether the far end has closed (poll with POLLRDHUP).

Evidence: unread_caller_test, red since it was written (1 connection open, 0 expected), passes. Not seen: a close behind more bytes than both sockets buffer, which has not arrived yet.

--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -22,6 +22,9 @@
 // Maximum number of bytes buffered while a request is in progress; beyond it reading from the caller is paused.
 constexpr std::size_t MaxBacklogBytes = 64U << 10U;
 
+// While reading is paused, the loop does not tell that the caller has disconnected.
+constexpr Duration CloseCheckInterval{100};
+
 constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string_view reasonOf(int status)
@@ -38,7 +41,11 @@
 } // namespace
 
 CallerSession::CallerSession(ForwardContext &context, std::shared_ptr<http::Connection> connection, std::function<void(CallerSession *)> onEnd)
-    : context_(context), connection_(std::move(connection)), onEnd_(std::move(onEnd)), timer_(context.loop, [this] { onTimer(); })
+    : context_(context)
+    , connection_(std::move(connection))
+    , onEnd_(std::move(onEnd))
+    , timer_(context.loop, [this] { onTimer(); })
+    , closeCheckTimer_(context.loop, [this] { checkForClose(); })
 {
     context_.metrics.callers.add(1);
 }
@@ -91,12 +98,25 @@
     if (activeRequest_ != nullptr) {
         if (backlog_.size() > MaxBacklogBytes) {
             connection_->setReading(false);
+            closeCheckTimer_.start(CloseCheckInterval);
         }
         return;
     }
     parse();
 }
 
+void CallerSession::checkForClose()
+{
+    if (activeRequest_ == nullptr || !connection_->isOpen()) {
+        return;
+    }
+    if (connection_->isClosedByPeer()) {
+        onConnectionEnd();
+        return;
+    }
+    closeCheckTimer_.start(CloseCheckInterval);
+}
+
 void CallerSession::parse()
 {
     while (activeRequest_ == nullptr && !hasEnded_ && connection_->isOpen() && !backlog_.empty()) {
@@ -288,6 +308,7 @@
         return;
     }
     timer_.stop();
+    closeCheckTimer_.stop();
     connection_->close();
     if (const auto onEnd = std::exchange(onEnd_, nullptr)) {
         onEnd(this);
--- a/libs/forward/src/callersession.h
+++ b/libs/forward/src/callersession.h
@@ -56,6 +56,7 @@
     void finishAnswer();
     void onConnectionEnd();
     void onTimer();
+    void checkForClose();
     void close();
     std::string headOf(int status, const http::HeaderList &headers) const;
     const routing::CallerLimits &limits() const;
@@ -65,6 +66,7 @@
     std::function<void(CallerSession *)> onEnd_;
     http::MessageParser parser_{http::MessageParser::Kind::Request};
     http::Timer timer_; ///< Timeout for reading a request, or for an idle connection.
+    http::Timer closeCheckTimer_; ///< Runs while reading is paused during a request.
     std::string backlog_; ///< Bytes received after the request in progress.
     std::string body_;
     std::optional<BootTime> backlogSince_; ///< When the first byte of the backlog arrived; nothing if no request was in progress then.
--- a/libs/http/include/http/connection.h
+++ b/libs/http/include/http/connection.h
@@ -69,7 +69,7 @@
     /** Stops or resumes reading; the far end is then held back by flow control. */
     void setReading(bool enabled);
 
-    /** All that the far end sent has been read, and it has closed or reset its side; onEnd may not have been called yet. */
+    /** The far end has closed or reset its side, and all that it sent has been read or reading is stopped; onEnd may not have been called yet. */
     bool isClosedByPeer() const;
 
     bool isOpen() const
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -1,5 +1,6 @@
 #include "http/connection.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -129,6 +130,11 @@
 
 bool Connection::isClosedByPeer() const
 {
+    // Bytes that have not been read hide the end of the connection from recv().
+    pollfd state{.fd = fd_, .events = POLLRDHUP, .revents = 0};
+    if (!isReading_ && poll(&state, 1, 0) > 0) {
+        return true;
+    }
     char next = 0;
     const ssize_t count = recv(fd_, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
     return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
