routing, forward: a service that returns is probed and filled with care

Each request probed endpoints by itself: some 900 arrivals were turned away with 421 or 503, which used up the retry budget, so that 436 requests that had waited were refused within 0.2 s of the moment at which their group ran again. Ruled out: the wait for a heartbeat. The groups opened at 37.5 s, and their coordinators took over within 0.06 s of it (0.2 s on the third).

- Of the endpoints at one address only the one listed last is chosen; one that another answered for (421) is the last choice.
- While no endpoint of a service has answered, a rejection speaks for all: one probe at a time, the others wait.
- Streams that waited too long to be in time form a backlog behind new ones, at a pace that leaves most slots to these, and none while pauses come near the objective (BacklogGate).
Those whose turn would come too late are refused at once.

endpoint_rejectsForAPeer_... lets endpoint c answer first: only then is it known not to be in the group.

--- a/libs/forward/src/forwardcontext.h
+++ b/libs/forward/src/forwardcontext.h
@@ -94,8 +94,11 @@
         if (found != slotQueues.end()) {
             return *found->second;
         }
-        auto hasOpening = [this, name = std::string(service)] { return endpoints.canAdmitStream(name, BootClock::now(), random); };
-        return *slotQueues.emplace(service, std::make_unique<SlotQueue>(loop, std::move(hasOpening))).first->second;
+        const std::string name(service);
+        SlotQueue::Service capacity{.hasOpening = [this, name] { return endpoints.canAdmitStream(name, BootClock::now(), random); },
+                                    .slots = [this, name] { return endpoints.slotsOf(name); },
+                                    .instances = [this] { return endpoints.instances(); }};
+        return *slotQueues.emplace(name, std::make_unique<SlotQueue>(loop, std::move(capacity))).first->second;
     }
 
     void setInstanceCount(std::size_t instances)
--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -154,14 +154,19 @@
     waitingFor_ = Waiting::ForSlot;
     waitingSince_ = now;
     waitingEnds_ = request_.receivedAt + route_->latencyObjective / ObjectiveShare;
-    slots_->enqueue(priority().value_or(DefaultPriority), now, [waiting = weak_from_this()] {
+    slots_->enqueue(priority().value_or(DefaultPriority), now, slotCallback());
+    startTimer();
+}
+
+SlotQueue::Callback ForwardedRequest::slotCallback()
+{
+    return [waiting = weak_from_this()] {
         const auto self = waiting.lock();
         if (self != nullptr && self->stopWaitingFor(Waiting::ForSlot)) {
             self->slotWait_ = BootClock::now() - self->waitingSince_;
             self->dispatchNext();
         }
-    });
-    startTimer();
+    };
 }
 
 /** Ends the wait for the given thing. @return false if the request was not waiting for it. */
@@ -193,7 +198,7 @@
         return false;
     }
     // Trying a refused request again uses the retry budget, so it waits until another request has shown that the group runs.
-    beginWaiting(needsRetryBudget_ ? latest : std::min(latest, endpoint.groupAvoidUntil));
+    beginWaiting(needsRetryBudget_ ? latest : std::min(latest, context_.endpoints.groupAvoidedUntil(endpoint)));
     return true;
 }
 
@@ -206,6 +211,7 @@
 void ForwardedRequest::beginWaiting(BootTime until)
 {
     waitingFor_ = Waiting::ForUpdate;
+    waitingSince_ = BootClock::now();
     waitingEnds_ = until;
     if (!std::exchange(isWaiterRegistered_, true)) {
         context_.waiters.push_back([waiting = weak_from_this()] {
@@ -228,7 +234,36 @@
         return;
     }
     const bool isAdmitted = route_ != nullptr && !service_.empty();
-    isAdmitted ? dispatchNext() : admit();
+    if (!isAdmitted) {
+        admit();
+    } else if (isBacklog()) {
+        joinBacklog();
+    } else {
+        dispatchNext();
+    }
+}
+
+/** Whether the service runs again after it kept this stream waiting for so long that its first event can't be in time any more. */
+bool ForwardedRequest::isBacklog() const
+{
+    const bool isLate = BootClock::now() >= request_.receivedAt + route_->latencyObjective / ObjectiveShare;
+    const auto served = context_.lastGoodAnswerAt.find(service_);
+    const bool hasServedSince = served != context_.lastGoodAnswerAt.end() && served->second >= waitingSince_;
+    return route_->kind == RouteKind::Stream && !isStreaming_ && isLate && hasServedSince;
+}
+
+void ForwardedRequest::joinBacklog()
+{
+    waitingFor_ = Waiting::ForSlot;
+    waitingSince_ = BootClock::now();
+    // First events take longer than the shortest one while the service catches up.
+    const BootClock::duration margin = context_.endpoints.shortestFirstEventTime(service_, waitingSince_);
+    waitingEnds_ = std::max(latestDispatch() - margin, waitingSince_);
+    if (slots_->enqueueBacklog(request_.receivedAt, waitingEnds_, slotCallback())) {
+        startTimer();
+    } else {
+        reject(StatusUnavailable, RetryAfterFull, "more streams waited for its service than can start before their callers leave");
+    }
 }
 
 BootClock::duration ForwardedRequest::timeLeft() const
@@ -251,12 +286,12 @@
         return;
     }
     const routing::EndpointPointer endpoint = chooseEndpoint();
-    if (endpoint != nullptr && now < endpoint->groupAvoidUntil && waitForGroup(*endpoint)) {
+    if (endpoint != nullptr && now < context_.endpoints.groupAvoidedUntil(*endpoint) && waitForGroup(*endpoint)) {
         return;
     }
     if (endpoint != nullptr && needsRetryBudget_ && !context_.retryAllowanceOf(service_).tryRetry(now)) {
         context_.metrics.retriesDenied.add();
-        reject(StatusUnavailable, RetryAfterGroup, "its group does not run, and the retry budget is used up");
+        reject(StatusUnavailable, RetryAfterGroup, "its endpoint refused it, and the retry budget is used up");
         return;
     }
     if (endpoint != nullptr) {
@@ -563,6 +598,7 @@
     if (stepModel_ == nullptr) {
         return;
     }
+    slots_->backlogGate().onPause(lastReceivedAt_ - before, route_->pauseObjective, lastReceivedAt_);
     const routing::ConcurrencyLimit::Pause pause{.pause = lastReceivedAt_ - before, .objective = route_->pauseObjective, .inProgress = slots_->inProgress()};
     if (slots_->limit().onPause(pause, *stepModel_, lastReceivedAt_)) {
         context_.log.logStreamLimit(service_, pause.pause, pause.inProgress, slots_->limit().limit(lastReceivedAt_).value_or(0));
@@ -633,6 +669,9 @@
         const bool hasRoom = endpoint_->load.running + endpoint_->load.waiting < endpoint_->record.slots && endpoint_->reportedAt == lastReceivedAt_;
         const bool isForPeer = status == StatusUnavailable && (isNamedPeer || hasRoom);
         endAttempt(status == StatusMisdirected ? AttemptOutcome::Unreachable : AttemptOutcome::Refused);
+        if (status == StatusMisdirected) {
+            context_.endpoints.onAddressTaken(*endpoint_, BootClock::now());
+        }
         if (isForPeer) {
             context_.endpoints.onRefusedForPeer(*endpoint_, atFault, BootClock::now());
         }
@@ -647,6 +686,10 @@
             reject(StatusUnavailable, RetryAfterGroup, "its group does not run");
             return;
         }
+        if (status == StatusMisdirected && !mayHaveRun_ && !isStreaming_ && attempts_.allowsAnother(route_->maxEndpoints)) {
+            leaveReplacedEndpoint();
+            return;
+        }
         if (retryElsewhere("not-run")) {
             return;
         }
@@ -682,6 +725,15 @@
     relayAnswer(std::move(incoming_));
 }
 
+/** Dispatches the request to another endpoint, after a wait if nothing is known of any. */
+void ForwardedRequest::leaveReplacedEndpoint()
+{
+    needsRetryBudget_ = true;
+    groupRefusedAt_ = BootClock::now();
+    logFailedAttempt("not-run", StatusMisdirected, {}, "retry");
+    dispatchNext();
+}
+
 void ForwardedRequest::handleStreamEnd(AttemptEnd end)
 {
     mayHaveRun_ = true;
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -62,12 +62,15 @@
     void admit();
     void pickService();
     void acquireSlot();
+    SlotQueue::Callback slotCallback();
     bool stopWaitingFor(Waiting awaited);
     bool waitForUpdate();
     bool waitForGroup(const routing::Endpoint &endpoint);
     void beginWaiting(BootTime until);
     void resumeAfterUpdate();
     bool hasGroupRecovered() const;
+    bool isBacklog() const;
+    void joinBacklog();
     routing::EndpointPointer chooseEndpoint() const;
     void handleRejection(const Rejection &rejection);
 
@@ -96,6 +99,7 @@
     void onAnswerBody(std::string_view piece);
     void onAttemptEnd(AttemptEnd end);
     void handleWholeAnswer();
+    void leaveReplacedEndpoint();
     void relayEvents(std::string_view piece);
     void recordPause();
     void handleStreamEnd(AttemptEnd end);
@@ -139,7 +143,7 @@
     routing::CallerDeadlines callerDeadlines_;
     BootTime updateWaitEnds_; ///< Latest time to wait for a change of the routes or endpoints.
     Waiting waitingFor_ = Waiting::ForNothing;
-    BootTime waitingSince_; ///< When the wait for a slot began.
+    BootTime waitingSince_; ///< When the current wait began.
     BootTime waitingEnds_; ///< At this time the request stops waiting, and is dispatched or rejected.
     bool isWaiterRegistered_ = false; ///< This request is in ForwardContext::waiters.
     http::Timer timer_;
--- a/libs/forward/src/slotqueue.h
+++ b/libs/forward/src/slotqueue.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "http/timer.h"
+#include "routing/backloggate.h"
 #include "routing/concurrencylimit.h"
 #include "routing/routingconfig.h"
 
@@ -18,7 +19,8 @@
  * Limits the requests of one service that are in progress, and queues streams that wait for a slot.
  *
  * Streams are admitted by priority, but each level of priority is worth only a fixed waiting time: a stream that has
- * waited longer goes before later ones of a higher priority, so none starves. Lives on one event loop.
+ * waited longer goes before later ones of a higher priority, so none starves. Streams that waited until the service runs again form a backlog, which comes
+ * after all others and is paced. Lives on one event loop.
  *
  * @code
  * if (!queue.hasFreeSlot(now)) { queue.enqueue(priority, now, [waiting = weak_from_this()] { ... }); }
@@ -29,13 +31,19 @@
 public:
     using Callback = std::function<void()>; ///< Called when a slot is free; does nothing if the request no longer waits.
 
-    /** @param hasOpening tells whether an endpoint can accept another stream. */
-    SlotQueue(event_base *loop, std::function<bool()> hasOpening) : timer_(loop, [this] { admitWaiting(); }), hasOpening_(std::move(hasOpening)) {}
+    /** The service's endpoints, as far as admission depends on them. */
+    struct Service {
+        std::function<bool()> hasOpening; ///< Whether an endpoint can accept another stream.
+        std::function<std::size_t()> slots; ///< Requests that all endpoints run concurrently.
+        std::function<std::size_t()> instances; ///< Entries that use the endpoints.
+    };
+
+    SlotQueue(event_base *loop, Service service) : timer_(loop, [this] { admitWaiting(); }), service_(std::move(service)) {}
 
     /** A slot is free and no stream is queued for it. */
     bool hasFreeSlot(BootTime now) const
     {
-        return waiting_.empty() && limit_.canAdmit(inProgress_, now) && hasOpening_();
+        return waiting_.empty() && canAdmit(now);
     }
 
     void enqueue(routing::Priority priority, BootTime since, Callback onSlot)
@@ -46,6 +54,28 @@
         waiting_.emplace(since + priority * TimePerPriority, std::move(onSlot));
     }
 
+    /**
+     * Queues a stream that waited until the service runs again.
+     *
+     * @param until after this time it is of no use to its caller.
+     * @return false if its turn would come later; it is not queued then.
+     */
+    bool enqueueBacklog(BootTime since, BootTime until, Callback onSlot)
+    {
+        const auto ahead = static_cast<BootClock::duration::rep>(backlog_.size());
+        if (BootClock::now() + ahead * backlogGate_.interval(service_.slots(), service_.instances()) > until) {
+            return false;
+        }
+        backlog_.emplace(since, std::move(onSlot));
+        scheduleAdmission();
+        return true;
+    }
+
+    routing::BacklogGate &backlogGate()
+    {
+        return backlogGate_;
+    }
+
     void reserve()
     {
         ++inProgress_;
@@ -60,7 +90,7 @@
     /** Admits queued streams on the loop's next turn, e.g. since an endpoint can accept another one. */
     void scheduleAdmission()
     {
-        if (!waiting_.empty()) {
+        if (!waiting_.empty() || !backlog_.empty()) {
             timer_.start(Duration(0)); // Callbacks must not run inside a call of the queue's user.
         }
     }
@@ -82,20 +112,46 @@
 
     void admitWaiting()
     {
-        while (!waiting_.empty() && limit_.canAdmit(inProgress_, BootClock::now()) && hasOpening_()) {
-            const Callback next = std::move(waiting_.begin()->second);
-            waiting_.erase(waiting_.begin());
-            next();
+        while (!waiting_.empty() && canAdmit(BootClock::now())) {
+            takeFirst(waiting_)();
         }
-        if (!waiting_.empty()) {
+        admitBacklog(BootClock::now());
+        if (!waiting_.empty() || !backlog_.empty()) {
             timer_.start(RecheckInterval);
         }
     }
 
+    void admitBacklog(BootTime now)
+    {
+        const std::size_t before = inProgress_;
+        // Requests that have ended meanwhile are still queued, and dispatch nothing.
+        while (waiting_.empty() && !backlog_.empty() && inProgress_ == before
+               && backlogGate_.canAdmit(backlogGate_.interval(service_.slots(), service_.instances()), now) && canAdmit(now)) {
+            takeFirst(backlog_)();
+        }
+        if (inProgress_ != before) {
+            backlogGate_.onAdmitted(now);
+        }
+    }
+
+    bool canAdmit(BootTime now) const
+    {
+        return limit_.canAdmit(inProgress_, now) && service_.hasOpening();
+    }
+
+    static Callback takeFirst(std::multimap<BootTime, Callback> &queue)
+    {
+        Callback first = std::move(queue.begin()->second);
+        queue.erase(queue.begin());
+        return first;
+    }
+
     http::Timer timer_;
-    std::function<bool()> hasOpening_;
+    Service service_;
     routing::ConcurrencyLimit limit_{{}};
     std::multimap<BootTime, Callback> waiting_; ///< By arrival time, adjusted for the priority.
+    std::multimap<BootTime, Callback> backlog_; ///< By arrival time.
+    routing::BacklogGate backlogGate_{{}};
     std::size_t inProgress_ = 0;
 };
 
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -28,6 +28,7 @@
     std::uint32_t slots = 1; ///< Requests that it runs concurrently.
     bool isLeaving = false;
     std::uint64_t incarnation = 0; ///< Start time in Unix milliseconds; 0: unknown. A higher value is a new run, to which no state of earlier runs applies.
+    std::uint64_t listedAt = 0; ///< Version of the list at the entry's last change; 0: unknown.
 
     bool operator==(const EndpointRecord &) const = default;
 };
@@ -54,6 +55,8 @@
     BootTime avoidUntil; ///< Until then it is chosen only if there is no other.
     std::uint32_t group = 0; ///< Endpoints that reject requests because another of them is down share a group number; 0: not known to be in a group.
     BootTime groupAvoidUntil; ///< Until then its group is avoided because it rejected a request; the epoch if the group is believed to be running.
+    bool hasAnswered = false; ///< It has run a request since it was added.
+    bool isReplaced = false; ///< Another endpoint has its address, so it no longer exists; it is the very last choice.
     bool isSuspected = false; ///< Nothing was received from it for too long, and a liveness check is in progress.
     bool isUnresponsive = false; ///< The liveness check failed; it is chosen only if there is no other.
     BootTime lastStartedSentAt; ///< Latest dispatch time among the requests whose answers have started.
@@ -94,7 +97,9 @@
  *   probed with one request at a time until one is answered.
  * - When an endpoint crashes, only one of the requests that ran there is the cause. The suspects are sent to different endpoints if possible, so that
  *   the answers to the innocent ones clear them.
- * - An unresponsive endpoint is the last choice.
+ * - While no endpoint of a service has answered yet, nothing is known of groups, and the list may still name the endpoints of before a power loss. A
+ *   rejection then speaks for all endpoints that have not answered, and they are probed with one request at a time.
+ * - An unresponsive endpoint is the last choice but for one whose address another endpoint has.
  * - An endpoint that states a rate limit is chosen only within this entry's share of it.
  * - The number of streams per endpoint that wait for their first event is bounded.
  *
@@ -125,6 +130,10 @@
     {
         instances_ = instances;
     }
+    std::size_t instances() const
+    {
+        return instances_;
+    }
 
     /**
      * Adds an endpoint or updates its record. An endpoint that restarted under the same id starts with fresh state, since load, failures and group of
@@ -148,15 +157,24 @@
         return byId_.size();
     }
 
+    /** @return the requests that all endpoints of a service run concurrently. */
+    std::size_t slotsOf(std::string_view service) const;
+
     /** An endpoint rejected a request because a peer of its group is down. Marks the whole group as avoided. */
     void onRefusedForPeer(Endpoint &endpoint, std::string_view peerAddress, BootTime now);
 
     /** A request is dispatched to the endpoint. If its group is being avoided, this request is the probe, and the avoidance is extended for all others. */
     void onDispatch(Endpoint &endpoint, BootTime now, Random &random);
 
-    /** The endpoint answered a request, so its group is running. @return true if the group was avoided until now. */
+    /** The endpoint answered a request, so its group is running. @return true if it was avoided until now. */
     bool onGroupAnswer(Endpoint &endpoint);
 
+    /** Another endpoint answered at the endpoint's address, so the endpoint has ended. */
+    void onAddressTaken(Endpoint &endpoint, BootTime now);
+
+    /** @return until when the endpoint is avoided because its group, or every endpoint of which nothing is known yet, rejects requests; the epoch if not. */
+    BootTime groupAvoidedUntil(const Endpoint &endpoint) const;
+
     /**
      * Whether an endpoint can take another stream without exceeding its share of streams without a first event. Avoided endpoints count only if no
      * other endpoint is merely saturated.
@@ -199,12 +217,14 @@
         Saturated, ///< It has this entry's share of streams without a first event.
         Avoided, ///< It failed recently, its group is avoided, it is suspected, or the request and one in flight there both have crash reports.
         Unresponsive,
+        Replaced,
     };
 
     struct ServiceActivity {
         BootTime lastReceivedAt;
         BootTime lastStartedSentAt;
         FirstEventLatency firstEventLatency;
+        BootTime unprovenAvoidUntil; ///< Until then endpoints that have not answered are avoided; the epoch if they are not.
     };
 
     ServiceActivity &activityOf(std::string_view service);
@@ -213,11 +233,17 @@
     double cost(const Endpoint &endpoint, BootTime now) const;
     void mergeGroups(std::string_view service, std::uint32_t one, std::uint32_t other);
     void setGroupAvoidUntil(Endpoint &endpoint, BootTime until);
+    bool isServiceProven(std::string_view service) const;
+    void avoidUnproven(std::string_view service, BootTime now);
+    void addToAddress(const EndpointPointer &endpoint);
+    void removeFromAddress(const EndpointPointer &endpoint);
+    void markReplaced(std::string_view address);
 
     Options options_;
     std::size_t instances_ = 1;
     TextMap<EndpointPointer> byId_;
     TextMap<std::vector<EndpointPointer>> byService_;
+    TextMap<std::vector<EndpointPointer>> byAddress_;
     TextMap<ServiceActivity> activity_; ///< By service.
     std::uint32_t lastGroup_ = 0;
     TextMap<std::uint32_t> groupsByFaultyAddress_; ///< Key: address that rejections named as the cause; it need not be on the list.
--- a/libs/routing/src/endpointsnapshot.cpp
+++ b/libs/routing/src/endpointsnapshot.cpp
@@ -21,7 +21,8 @@
             {"d", record.dataCentre},
             {"n", record.slots},
             {"l", record.isLeaving},
-            {"b", record.incarnation}};
+            {"b", record.incarnation},
+            {"w", record.listedAt}};
 }
 
 EndpointRecord decodeRecord(const json &record)
@@ -32,7 +33,8 @@
             .dataCentre = record.at("d").get<std::string>(),
             .slots = record.at("n").get<std::uint32_t>(),
             .isLeaving = record.at("l").get<bool>(),
-            .incarnation = record.at("b").get<std::uint64_t>()};
+            .incarnation = record.at("b").get<std::uint64_t>(),
+            .listedAt = record.value("w", std::uint64_t{0})}; // Absent in snapshots from peers of an earlier version.
 }
 
 } // namespace
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -70,16 +70,51 @@
     }
     const bool isSameRun = found != byId_.end() && !isEarlierRun(found->second->record, record);
     if (isSameRun && found->second->record.service == record.service) {
-        const std::uint64_t incarnation = std::max(record.incarnation, found->second->record.incarnation);
-        found->second->record = record;
-        found->second->record.incarnation = incarnation;
+        const EndpointPointer known = found->second;
+        const std::uint64_t incarnation = std::max(record.incarnation, known->record.incarnation);
+        removeFromAddress(known);
+        known->record = record;
+        known->record.incarnation = incarnation;
+        addToAddress(known);
         return;
     }
     remove(record.id);
     auto endpoint = std::make_shared<Endpoint>();
     endpoint->record = record;
     byId_.emplace(record.id, endpoint);
-    byService_[record.service].push_back(std::move(endpoint));
+    byService_[record.service].push_back(endpoint);
+    addToAddress(endpoint);
+}
+
+void EndpointTable::addToAddress(const EndpointPointer &endpoint)
+{
+    byAddress_[endpoint->record.address].push_back(endpoint);
+    markReplaced(endpoint->record.address);
+}
+
+void EndpointTable::removeFromAddress(const EndpointPointer &endpoint)
+{
+    const auto found = byAddress_.find(endpoint->record.address);
+    std::erase(found->second, endpoint);
+    if (found->second.empty()) {
+        byAddress_.erase(found);
+    }
+}
+
+/**
+ * Of the endpoints at one address only the one that was listed last exists. The entries of those that ended with their instance expire only after some
+ * renewal intervals, and each request to them would be rejected meanwhile.
+ */
+void EndpointTable::markReplaced(std::string_view address)
+{
+    const std::vector<EndpointPointer> &sharing = byAddress_.find(address)->second;
+    const auto isListedEarlier = [](const EndpointPointer &one, const EndpointPointer &other) { return one->record.listedAt < other->record.listedAt; };
+    const EndpointPointer newest = *std::max_element(sharing.begin(), sharing.end(), isListedEarlier);
+    for (const EndpointPointer &endpoint : sharing) {
+        if (endpoint->record.listedAt != 0) {
+            endpoint->isReplaced = endpoint != newest;
+        }
+    }
 }
 
 void EndpointTable::remove(std::string_view id)
@@ -90,6 +125,7 @@
     }
     found->second->isRemoved = true;
     std::erase(byService_[found->second->record.service], found->second);
+    removeFromAddress(found->second);
     byId_.erase(found);
 }
 
@@ -105,6 +141,15 @@
     return found == byService_.end() ? std::span<const EndpointPointer>() : std::span<const EndpointPointer>(found->second);
 }
 
+std::size_t EndpointTable::slotsOf(std::string_view service) const
+{
+    std::size_t slots = 0;
+    for (const EndpointPointer &endpoint : endpointsOf(service)) {
+        slots += endpoint->acceptsRequests() && !endpoint->isReplaced ? endpoint->record.slots : 0;
+    }
+    return slots;
+}
+
 bool EndpointTable::isAtUnstartedLimit(const Endpoint &endpoint) const
 {
     const std::size_t share = endpoint.record.slots / (UnstartedSlotDivisor * std::max<std::size_t>(instances_, 1));
@@ -113,11 +158,14 @@
 
 EndpointTable::AvoidanceLevel EndpointTable::avoidanceOf(const Endpoint &endpoint, const ChoiceRequest &request, BootTime now) const
 {
+    if (endpoint.isReplaced) {
+        return AvoidanceLevel::Replaced;
+    }
     if (endpoint.isUnresponsive) {
         return AvoidanceLevel::Unresponsive;
     }
     const bool joinsSuspect = request.isSuspect && endpoint.suspectRequests > 0;
-    const bool isAvoided = now < std::max(endpoint.avoidUntil, endpoint.groupAvoidUntil);
+    const bool isAvoided = now < std::max(endpoint.avoidUntil, groupAvoidedUntil(endpoint));
     if (joinsSuspect || isAvoided || endpoint.isSuspected) {
         return AvoidanceLevel::Avoided;
     }
@@ -170,6 +218,43 @@
         }
     }
     setGroupAvoidUntil(endpoint, now + GroupRetryInterval);
+    avoidUnproven(endpoint.record.service, now);
+}
+
+void EndpointTable::onAddressTaken(Endpoint &endpoint, BootTime now)
+{
+    endpoint.isReplaced = true;
+    const auto sharing = byAddress_.find(endpoint.record.address);
+    for (const EndpointPointer &other : sharing == byAddress_.end() ? std::span<const EndpointPointer>() : std::span<const EndpointPointer>(sharing->second)) {
+        // It may be the one that answered, although the entry of the ended one was written later.
+        other->isReplaced = other->isReplaced && other.get() == &endpoint;
+    }
+    avoidUnproven(endpoint.record.service, now);
+}
+
+/** @return true if an endpoint that can still be chosen has answered a request. */
+bool EndpointTable::isServiceProven(std::string_view service) const
+{
+    const auto all = endpointsOf(service);
+    return std::any_of(
+        all.begin(), all.end(), [](const EndpointPointer &endpoint) { return endpoint->hasAnswered && endpoint->acceptsRequests() && !endpoint->isReplaced; });
+}
+
+/** Called after a rejection. Lets one request at a time probe the service, as long as no endpoint of it has shown that it runs. */
+void EndpointTable::avoidUnproven(std::string_view service, BootTime now)
+{
+    if (!isServiceProven(service)) {
+        activityOf(service).unprovenAvoidUntil = now + GroupRetryInterval;
+    }
+}
+
+BootTime EndpointTable::groupAvoidedUntil(const Endpoint &endpoint) const
+{
+    if (endpoint.hasAnswered) {
+        return endpoint.groupAvoidUntil;
+    }
+    const auto activity = activity_.find(endpoint.record.service);
+    return activity == activity_.end() ? endpoint.groupAvoidUntil : std::max(endpoint.groupAvoidUntil, activity->second.unprovenAvoidUntil);
 }
 
 void EndpointTable::onDispatch(Endpoint &endpoint, BootTime now, Random &random)
@@ -178,6 +263,9 @@
     if (endpoint.groupAvoidUntil != BootTime()) {
         setGroupAvoidUntil(endpoint, now + GroupRetryInterval);
     }
+    if (ServiceActivity &activity = activityOf(endpoint.record.service); !endpoint.hasAnswered && activity.unprovenAvoidUntil != BootTime()) {
+        activity.unprovenAvoidUntil = now + GroupRetryInterval;
+    }
     if (endpoint.inFlight == 0) {
         endpoint.busySince = now;
     }
@@ -185,11 +273,14 @@
 
 bool EndpointTable::onGroupAnswer(Endpoint &endpoint)
 {
-    if (endpoint.groupAvoidUntil == BootTime()) {
-        return false;
+    const bool wasAvoided = groupAvoidedUntil(endpoint) != BootTime();
+    endpoint.hasAnswered = true;
+    endpoint.isReplaced = false;
+    activityOf(endpoint.record.service).unprovenAvoidUntil = {};
+    if (endpoint.groupAvoidUntil != BootTime()) {
+        setGroupAvoidUntil(endpoint, BootTime());
     }
-    setGroupAvoidUntil(endpoint, BootTime());
-    return true;
+    return wasAvoided;
 }
 
 void EndpointTable::mergeGroups(std::string_view service, std::uint32_t one, std::uint32_t other)
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -223,6 +223,7 @@
     for (const char *id : {"a", "b", "c"}) {
         table.put({.id = id, .service = "s", .address = std::string(id) + ":80", .dataCentre = "north", .slots = 4});
     }
+    table.onGroupAnswer(*table.find("c"));
     table.onRefusedForPeer(*table.find("a"), "b:80", Now);
     BOOST_TEST(choices(50)["c"] == 50); // Not known to be in the group.
     table.onRefusedForPeer(*table.find("c"), "b:80", Now);
@@ -235,6 +236,54 @@
     BOOST_TEST((table.find("b")->groupAvoidUntil == BootTime()));
 }
 
+// Guards against a probe of each endpoint by each waiting request after all instances lost power, which uses up the retry budget before a group runs.
+BOOST_AUTO_TEST_CASE(service_noEndpointHasAnsweredYet_aRejectionSpeaksForAll)
+{
+    table.onRefusedForPeer(*table.find("a"), "x:80", Now);
+    for (const char *id : {"a", "b", "c"}) {
+        BOOST_TEST((table.groupAvoidedUntil(*table.find(id)) > Now));
+    }
+    table.onDispatch(*table.find("b"), Now + 1s, random);
+    BOOST_TEST((table.groupAvoidedUntil(*table.find("c")) > Now + 1s)); // One request probes the service, the others wait.
+    table.put({.id = "d", .service = "s", .address = "10.0.0.2:80", .dataCentre = "north", .slots = 4});
+    BOOST_TEST((table.groupAvoidedUntil(*table.find("d")) > Now + 1s));
+    BOOST_TEST(table.onGroupAnswer(*table.find("b")));
+    BOOST_TEST((table.groupAvoidedUntil(*table.find("c")) == BootTime()));
+}
+
+// Guards against a group that forms anew holding back requests to the other groups of its service.
+BOOST_AUTO_TEST_CASE(service_anEndpointHasAnswered_aRejectionSpeaksForItsGroupOnly)
+{
+    table.onGroupAnswer(*table.find("b"));
+    table.onRefusedForPeer(*table.find("a"), "x:80", Now);
+    BOOST_TEST((table.groupAvoidedUntil(*table.find("a")) > Now));
+    BOOST_TEST((table.groupAvoidedUntil(*table.find("b")) == BootTime()));
+    BOOST_TEST((table.groupAvoidedUntil(*table.find("c")) == BootTime()));
+}
+
+// Guards against requests to endpoints that ended with their instance: their entries expire some seconds after the new ones are listed.
+BOOST_AUTO_TEST_CASE(endpoint_addressListedLaterForAnother_isNotChosen)
+{
+    table.put({.id = "d", .service = "t", .address = "10.0.0.7:80", .dataCentre = "north", .slots = 4, .listedAt = 5});
+    table.put({.id = "a", .service = "s", .address = "10.0.0.7:80", .dataCentre = "north", .slots = 4, .listedAt = 3});
+    BOOST_TEST(table.find("a")->isReplaced);
+    BOOST_TEST(!table.find("d")->isReplaced);
+    BOOST_TEST(choices(100)["a"] == 0);
+    table.put({.id = "a", .service = "s", .address = "10.0.0.7:80", .dataCentre = "north", .slots = 4, .listedAt = 8});
+    BOOST_TEST(!table.find("a")->isReplaced);
+    BOOST_TEST(table.find("d")->isReplaced);
+}
+
+// Guards against an endpoint getting no requests because the entry of its predecessor at the address was written once more.
+BOOST_AUTO_TEST_CASE(endpoint_lateEntryOfItsPredecessor_isUsedAgainAfterOneMisdirectedRequest)
+{
+    table.put({.id = "old", .service = "t", .address = "10.0.0.7:80", .dataCentre = "north", .slots = 4, .listedAt = 9});
+    table.put({.id = "new", .service = "t", .address = "10.0.0.7:80", .dataCentre = "north", .slots = 4, .listedAt = 8});
+    table.onAddressTaken(*table.find("old"), Now);
+    BOOST_TEST(table.find("old")->isReplaced);
+    BOOST_TEST(!table.find("new")->isReplaced);
+}
+
 BOOST_AUTO_TEST_CASE(endpoints_rejectForOneNotOnTheList_areOneGroup)
 {
     table.onRefusedForPeer(*table.find("a"), "gone:80", Now);
--- a/libs/routing/tests/knowledgetest.cpp
+++ b/libs/routing/tests/knowledgetest.cpp
@@ -263,6 +263,7 @@
     EndpointRecord leaving = recordOf("a");
     leaving.isLeaving = true;
     leaving.incarnation = 1'800'000'000'000;
+    leaving.listedAt = 12;
     const auto decoded = decodeSnapshot(encodeSnapshot({.version = 77, .endpoints = {leaving, recordOf("b")}}));
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST(decoded->version == 77U);
