routing: an endpoint that hangs is avoided for longer than one that fails

The backoff after an attempt to which the endpoint sent nothing at all begins at 2 s and doubles up to 8 s. Ruled out: the same for each attempt that was overtaken.

--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -900,7 +900,9 @@
     context_.metrics.retries.add();
     hasRetried_ = true;
     logCancelledAttempt(cause);
-    endAttempt(AttemptOutcome::Failed);
+    // An endpoint that serves other requests meanwhile may have lost only this one's answer.
+    const bool isHanging = route_->kind == RouteKind::Stream && endpoint_->lastReceivedAt <= sentAt_;
+    endAttempt(isHanging ? AttemptOutcome::Hung : AttemptOutcome::Failed);
     logFailedAttempt(cause, 0, {}, "retry");
     dispatchNext();
     return true;
--- a/libs/forward/src/requestspans.h
+++ b/libs/forward/src/requestspans.h
@@ -70,7 +70,7 @@
     /** @return the failure to record in the span; empty if the outcome is not a failure of the endpoint. */
     static std::string_view failureOf(routing::AttemptOutcome outcome)
     {
-        if (outcome == routing::AttemptOutcome::Failed) {
+        if (outcome == routing::AttemptOutcome::Failed || outcome == routing::AttemptOutcome::Hung) {
             return "failed";
         }
         return outcome == routing::AttemptOutcome::Unreachable ? "unreachable" : "";
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -82,6 +82,7 @@
     Answered, ///< The endpoint is healthy.
     Refused, ///< Rejected without execution, because the endpoint is full or its group is down; does not count as a failure.
     Failed, ///< An error of the endpoint, a truncated or malformed answer, or no answer.
+    Hung, ///< Nothing came from the endpoint, while other requests of the service that were dispatched later progressed.
     Unreachable, ///< No connection could be established.
 };
 
@@ -92,7 +93,8 @@
  * of other entries from the endpoint's latest report, whose weight decays with age.
  *
  * - A failed endpoint is avoided for a backoff that doubles with each consecutive failure, and then gets requests again. There are no active health
- *   checks for this, as they would occupy its slots.
+ *   checks for this, as they would occupy its slots. One that hangs is avoided for longer, since each further probe of it costs
+ *   a caller more than a second; its liveness checks may well succeed.
  * - Engines of a group fail together. Groups are learnt from rejections that name another endpoint as the cause. A group that rejected a request is
  *   probed with one request at a time until one is answered.
  * - When an endpoint crashes, only one of the requests that ran there is the cause. The suspects are sent to different endpoints if possible, so that
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -21,6 +21,10 @@
 constexpr Duration InitialBackoff{250};
 constexpr Duration MaxBackoff{4000};
 
+// After an attempt that hung, which took a second or more to be recognised.
+constexpr Duration InitialHungBackoff{2000};
+constexpr Duration MaxHungBackoff{8000};
+
 // An endpoint that cannot be connected to is most likely down or unreachable from this instance.
 constexpr Duration UnreachableBackoff{1000};
 
@@ -51,11 +55,16 @@
     return one.incarnation != 0 && one.incarnation < other.incarnation;
 }
 
-Duration backoffAfter(std::uint32_t failures)
+struct BackoffRange {
+    Duration initial = InitialBackoff;
+    Duration maximum = MaxBackoff;
+};
+
+Duration backoffAfter(std::uint32_t failures, const BackoffRange &range = {})
 {
     constexpr std::uint32_t MaxDoublings = 4;
     const std::uint32_t doublings = std::min(failures > 0 ? failures - 1 : 0, MaxDoublings);
-    return std::min(InitialBackoff * (1U << doublings), MaxBackoff);
+    return std::min(range.initial * (1U << doublings), range.maximum);
 }
 
 } // namespace
@@ -399,6 +408,10 @@
         ++endpoint.failures;
         endpoint.avoidUntil = now + backoffAfter(endpoint.failures);
         break;
+    case AttemptOutcome::Hung:
+        ++endpoint.failures;
+        endpoint.avoidUntil = now + backoffAfter(endpoint.failures, {.initial = InitialHungBackoff, .maximum = MaxHungBackoff});
+        break;
     case AttemptOutcome::Unreachable:
         ++endpoint.failures;
         endpoint.avoidUntil = now + std::max(UnreachableBackoff, backoffAfter(endpoint.failures));
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -203,6 +203,22 @@
     BOOST_TEST((last <= Now + 5s));
 }
 
+// Guards against streams being sent again and again to an endpoint that answers liveness checks and hangs requests: each costs its caller more than a second.
+BOOST_AUTO_TEST_CASE(endpoint_hangsARequestWhileOthersProgress_isAvoidedLongerThanAfterAFailure)
+{
+    const auto endpoint = table.find("a");
+    EndpointTable::onAttemptEnded(*endpoint, AttemptOutcome::Hung, Now);
+    BOOST_TEST((endpoint->avoidUntil >= Now + 2s));
+    EndpointTable::onAttemptEnded(*endpoint, AttemptOutcome::Hung, Now);
+    BOOST_TEST((endpoint->avoidUntil >= Now + 4s));
+    for (int attempt = 0; attempt < 20; ++attempt) {
+        EndpointTable::onAttemptEnded(*endpoint, AttemptOutcome::Hung, Now);
+    }
+    BOOST_TEST((endpoint->avoidUntil <= Now + 8s));
+    EndpointTable::onAttemptEnded(*endpoint, AttemptOutcome::Answered, Now);
+    BOOST_TEST(choices(300).contains("a"));
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_rejectsWhenFull_isNotCountedAsFailure)
 {
     EndpointTable::onAttemptEnded(*table.find("a"), AttemptOutcome::Refused, Now);
