forward: ForwardedRequest divided by job

One source of 1,021 lines becomes three: admission, waiting, timeouts and ends (forwardedrequest.cpp), attempts (requestattempts.cpp), answers (requestanswers.cpp). What an answer means is decided by a function of its own with tests (classifyAnswer), what a request waits for is a value of its own (RequestWait) in place of three members, status codes and times of Retry-After stand once. No change of behaviour: forward_test, backlog_test, silent_endpoint_test pass.

--- a/libs/forward/src/admission.cpp
+++ b/libs/forward/src/admission.cpp
@@ -2,6 +2,7 @@
 
 #include "headervalues.h"
 #include "routing/fingerprint.h"
+#include "statuscodes.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -12,10 +13,6 @@
 namespace
 {
 
-constexpr int StatusUnauthorised = 401;
-constexpr int StatusNotFound = 404;
-constexpr int StatusUnavailable = 503;
-
 constexpr Duration RetryAfterNoRoutes{800};
 constexpr Duration RetryAfterNoProof{1000};
 
--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -1,6 +1,7 @@
 #include "callersession.h"
 
 #include "http/errorbody.h"
+#include "statuscodes.h"
 
 #include <http_parser.h>
 #include <spdlog/fmt/fmt.h>
@@ -14,11 +15,6 @@
 namespace
 {
 
-constexpr int StatusBadRequest = 400;
-constexpr int StatusRequestTimeout = 408;
-constexpr int StatusTooLarge = 413;
-constexpr int StatusHeadersTooLarge = 431;
-
 // Maximum number of bytes buffered while a request is in progress; beyond it reading from the caller is paused.
 constexpr std::size_t MaxBacklogBytes = 64U << 10U;
 
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -2,6 +2,7 @@
 #define MAGNOLIA_FORWARD_FORWARDEDREQUEST_H
 
 #include "admission.h"
+#include "answerkind.h"
 #include "answerwriter.h"
 #include "attempthistory.h"
 #include "endpointattempt.h"
@@ -9,6 +10,7 @@
 #include "forwardcontext.h"
 #include "http/timer.h"
 #include "requestspans.h"
+#include "requestwait.h"
 #include "routing/attemptpolicy.h"
 #include "routing/callerdeadlines.h"
 
@@ -46,13 +48,6 @@
     void onCallerDrained();
 
 private:
-    enum class Waiting : std::uint8_t {
-        ForNothing,
-        ForUpdate, ///< A change of the routes or endpoints, or the recovery of the endpoint's group.
-        ForSlot, ///< A free slot in the service's SlotQueue.
-        ForProbe, ///< The probe of an endpoint after a connection to it broke.
-    };
-
     struct BufferedAnswer {
         http::MessageHead head;
         std::string body;
@@ -63,7 +58,6 @@
     void pickService();
     void acquireSlot();
     SlotQueue::Callback slotCallback();
-    bool stopWaitingFor(Waiting awaited);
     bool waitForUpdate();
     bool waitForGroup(const routing::Endpoint &endpoint);
     void beginWaiting(BootTime until);
@@ -99,7 +93,10 @@
     void onAnswerBody(std::string_view piece);
     void onAttemptEnd(AttemptEnd end);
     void handleWholeAnswer();
-    void leaveReplacedEndpoint();
+    void handleRejectedAttempt(AnswerKind kind);
+    void onAddressTaken();
+    void onGroupDown(std::string_view atFault);
+    void handleFailure();
     void relayEvents(std::string_view piece);
     void recordPause();
     void handleStreamEnd(AttemptEnd end);
@@ -142,9 +139,7 @@
     const routing::StepModel *stepModel_ = nullptr; ///< Step model of the service's engines, owned by routes_; null if the service has none.
     routing::CallerDeadlines callerDeadlines_;
     BootTime updateWaitEnds_; ///< Latest time to wait for a change of the routes or endpoints.
-    Waiting waitingFor_ = Waiting::ForNothing;
-    BootTime waitingSince_; ///< When the current wait began.
-    BootTime waitingEnds_; ///< At this time the request stops waiting, and is dispatched or rejected.
+    RequestWait wait_;
     bool isWaiterRegistered_ = false; ///< This request is in ForwardContext::waiters.
     http::Timer timer_;
 
--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -5,6 +5,7 @@
 #include "http/httpserver.h"
 #include "http/timer.h"
 #include "observe/log.h"
+#include "statuscodes.h"
 
 #include <event2/listener.h>
 
@@ -19,9 +20,6 @@
 namespace
 {
 
-constexpr int StatusOk = 200;
-constexpr int StatusNotFound = 404;
-constexpr int StatusUnavailable = 503;
 constexpr int Backlog = 512; ///< With a full queue a SYN is dropped, which is retransmitted only after a second.
 
 // The load balancer checks readiness once a second and removes an instance after two failures. New connections may arrive
--- a/libs/forward/src/localanswer.cpp
+++ b/libs/forward/src/localanswer.cpp
@@ -3,6 +3,7 @@
 #include "base/errorcode.h"
 #include "base/failure.h"
 #include "http/errorbody.h"
+#include "statuscodes.h"
 
 #include <spdlog/fmt/fmt.h>
 
@@ -12,10 +13,6 @@
 namespace
 {
 
-constexpr int StatusUnauthorised = 401;
-constexpr int StatusNotFound = 404;
-constexpr int StatusTimeout = 504;
-
 ErrorCode codeOf(int status)
 {
     switch (status) {
--- /dev/null
+++ b/libs/forward/src/requestanswers.cpp
@@ -0,0 +1,312 @@
+// Answers to the attempts of a ForwardedRequest, and what they mean for it.
+#include "forwardedrequest.h"
+
+#include "headervalues.h"
+#include "retryafter.h"
+#include "statuscodes.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnolia::forward
+{
+
+namespace
+{
+
+using routing::AttemptOutcome;
+using routing::RouteKind;
+
+// With more bytes than this queued for the caller, reading from the endpoint is paused.
+constexpr std::size_t MaxPendingBytes = 256U << 10U;
+
+// An answer that is not a stream is buffered in memory until it is complete. Larger ones are treated as an error.
+constexpr std::size_t MaxAnswerBytes = 16U << 20U;
+
+constexpr std::string_view EventStream = "text/event-stream";
+
+bool isSuccess(int status)
+{
+    return status >= StatusOk && status < FirstRedirect;
+}
+
+} // namespace
+
+void ForwardedRequest::onAnswerHead(http::MessageHead &head)
+{
+    const auto self = shared_from_this();
+    lastReceivedAt_ = BootClock::now();
+    context_.endpoints.onDataReceived(*endpoint_, lastReceivedAt_);
+    const Protocol &protocol = context_.options.protocol;
+    if (protocol.parseLoad != nullptr) {
+        if (const auto load = protocol.parseLoad(head.headers.value(protocol.load))) {
+            routing::EndpointTable::onLoadReport(*endpoint_, *load, lastReceivedAt_);
+            slots_->limit().onLoadReport(*load, lastReceivedAt_);
+        }
+    }
+    updateRateLimit(head);
+    incoming_.head = head;
+    releaseUnstarted();
+    context_.endpoints.onAnswerStarted(*endpoint_, sentAt_);
+    if (isSuccess(head.status)) {
+        context_.endpoints.onGroupAnswer(*endpoint_);
+        context_.recordGoodAnswer(service_);
+    }
+    const bool isEvents = head.headers.value("content-type").starts_with(EventStream);
+    isStreamAnswer_ = route_->kind == RouteKind::Stream && isSuccess(head.status) && isEvents;
+    if (isStreamAnswer_) {
+        if (lastReceivedAt_ < answerDue()) { // Otherwise this process was late, not the service.
+            context_.endpoints.onStreamStarted(service_, lastReceivedAt_ - sentAt_, lastReceivedAt_);
+        }
+        splitter_.resume();
+    }
+}
+
+void ForwardedRequest::updateRateLimit(const http::MessageHead &head)
+{
+    if (head.status == StatusMisdirected) {
+        return; // The answer may come from another endpoint that now has this address.
+    }
+    const std::string *stated = head.headers.find(context_.options.protocol.rateLimit);
+    const auto perSecond = stated != nullptr ? parseRate(*stated) : std::nullopt;
+    if (stated != nullptr && !perSecond) {
+        context_.log.logInvalidRateLimit(endpoint_->record.id, *stated);
+        return;
+    }
+    if (context_.endpoints.updateRateLimit(*endpoint_, perSecond, lastReceivedAt_, context_.random)) {
+        context_.log.logRateLimit(endpoint_->record.id, perSecond);
+    }
+}
+
+void ForwardedRequest::onAnswerBody(std::string_view piece)
+{
+    const auto self = shared_from_this();
+    lastReceivedAt_ = BootClock::now();
+    context_.endpoints.onDataReceived(*endpoint_, lastReceivedAt_);
+    if (isStreamAnswer_) {
+        relayEvents(piece);
+        return;
+    }
+    incoming_.body.append(piece);
+    if (incoming_.body.size() > MaxAnswerBytes) {
+        mayHaveRun_ = true;
+        endAttempt(AttemptOutcome::Answered);
+        fail(StatusBadGateway, "the answer is over the limit");
+    }
+}
+
+void ForwardedRequest::relayEvents(std::string_view piece)
+{
+    const std::string_view events = splitter_.feed(piece);
+    if (splitter_.hasGap()) {
+        onAttemptEnd(AttemptEnd::Invalid);
+        return;
+    }
+    if (events.empty()) {
+        return;
+    }
+    if (!isStreaming_) {
+        isStreaming_ = true;
+        firstByteAt_ = lastReceivedAt_;
+        context_.metrics.firstByte.record(lastReceivedAt_ - request_.receivedAt);
+        http::HeaderList headers = incoming_.head.headers;
+        headers.removeHopByHop();
+        writer_->beginStream(incoming_.head.status, headers);
+    }
+    if (writer_ == nullptr) {
+        return;
+    }
+    recordPause();
+    ++eventCount_;
+    callerDeadlines_.onEventSent(lastReceivedAt_);
+    writer_->sendPiece(events);
+    if (writer_ != nullptr && attempt_ != nullptr && writer_->pendingBytes() > MaxPendingBytes) {
+        isReadingPaused_ = true;
+        attempt_->setReading(false);
+    }
+}
+
+/** Reports the time between two events to the concurrency limit of the service. */
+void ForwardedRequest::recordPause()
+{
+    const BootTime before = std::exchange(lastEventAt_, lastReceivedAt_);
+    if (eventCount_ == 0) {
+        return;
+    }
+    longestPause_ = std::max(longestPause_, lastReceivedAt_ - before);
+    if (stepModel_ == nullptr) {
+        return;
+    }
+    slots_->backlogGate().onPause(lastReceivedAt_ - before, route_->pauseObjective, lastReceivedAt_);
+    const routing::ConcurrencyLimit::Pause pause{.pause = lastReceivedAt_ - before, .objective = route_->pauseObjective, .inProgress = slots_->inProgress()};
+    if (slots_->limit().onPause(pause, *stepModel_, lastReceivedAt_)) {
+        context_.log.logStreamLimit(service_, pause.pause, pause.inProgress, slots_->limit().limit(lastReceivedAt_).value_or(0));
+    }
+}
+
+void ForwardedRequest::onCallerDrained()
+{
+    if (!std::exchange(isReadingPaused_, false)) {
+        return;
+    }
+    lastReceivedAt_ = BootClock::now(); // Reading was paused for the caller, so the endpoint is not to blame for the time without data.
+    callerDeadlines_.onEventSent(lastReceivedAt_);
+    if (attempt_ != nullptr) {
+        attempt_->setReading(true);
+        startTimer();
+    }
+}
+
+void ForwardedRequest::onAttemptEnd(AttemptEnd end)
+{
+    const auto self = shared_from_this();
+    if (attempt_ == nullptr) {
+        return;
+    }
+    if (isStreamAnswer_) {
+        handleStreamEnd(end);
+        return;
+    }
+    if (end == AttemptEnd::Complete) {
+        handleWholeAnswer();
+        return;
+    }
+    const bool isUnsent = end == AttemptEnd::NotSent;
+    mayHaveRun_ = mayHaveRun_ || !isUnsent;
+    if (end == AttemptEnd::ConnectionLost) {
+        waitForProbe();
+    }
+    endAttempt(isUnsent ? AttemptOutcome::Unreachable : AttemptOutcome::Failed);
+    if (isUnsent) {
+        // The request did not reach the endpoint, so the attempt counts neither against the route's limit on endpoints nor as
+        // received by the endpoint.
+        attempts_.forgetLast();
+        endpoint_->avoidUntil = std::max(endpoint_->avoidUntil, BootClock::now() + routing::ConnectTimeout);
+        const bool mayDialAgain = attempts_.count() <= context_.endpoints.endpointsOf(service_).size();
+        if (mayDialAgain && timeLeft().count() > 0) {
+            logFailedAttempt(toString(end), 0, {}, "dial another");
+            dispatchNext();
+            return;
+        }
+    }
+    if (retryElsewhere(toString(end))) {
+        return;
+    }
+    endUnsuccessfully(toString(end), StatusBadGateway);
+}
+
+void ForwardedRequest::handleWholeAnswer()
+{
+    const bool hasCurrentLoad = endpoint_->reportedAt == lastReceivedAt_;
+    const AnswerKind kind = classifyAnswer(incoming_.head, context_.options.protocol, *endpoint_, hasCurrentLoad);
+    if (isNotRun(kind)) {
+        handleRejectedAttempt(kind);
+        return;
+    }
+    mayHaveRun_ = true;
+    context_.crashTracker.recordAnswer(fingerprint_);
+    if (kind == AnswerKind::Unproved) {
+        onAttemptEnd(AttemptEnd::Invalid);
+        return;
+    }
+    endAttempt(kind == AnswerKind::Failure ? AttemptOutcome::Failed : AttemptOutcome::Answered);
+    if (isStreaming_) {
+        if (!retryElsewhere("failure")) {
+            abortStream("the endpoint that should go on failed");
+        }
+    } else if (kind == AnswerKind::Failure && isRepeatable()) {
+        handleFailure();
+    } else {
+        relayAnswer(std::move(incoming_));
+    }
+}
+
+/** Retries a failed request elsewhere; its answer is kept in case no other endpoint answers. */
+void ForwardedRequest::handleFailure()
+{
+    const int status = incoming_.head.status;
+    fallback_ = std::exchange(incoming_, {});
+    incoming_.head.status = status;
+    if (!retryElsewhere("failure")) {
+        relayAnswer(std::move(*fallback_));
+    }
+}
+
+void ForwardedRequest::handleRejectedAttempt(AnswerKind kind)
+{
+    const std::string atFault(incoming_.head.headers.value(context_.options.protocol.endpointAtFault));
+    const BootTime now = BootClock::now();
+    endAttempt(kind == AnswerKind::AddressTaken ? AttemptOutcome::Unreachable : AttemptOutcome::Refused);
+    if (kind == AnswerKind::AddressTaken) {
+        context_.endpoints.onAddressTaken(*endpoint_, now);
+    } else if (kind == AnswerKind::GroupDown) {
+        context_.endpoints.onRefusedForPeer(*endpoint_, atFault, now);
+    }
+    const bool mayWait = !mayHaveRun_ && !isStreaming_;
+    if (mayWait && kind == AnswerKind::GroupDown) {
+        onGroupDown(atFault);
+    } else if (mayWait && kind == AnswerKind::AddressTaken && attempts_.allowsAnother(route_->maxEndpoints)) {
+        onAddressTaken();
+    } else if (!retryElsewhere("not-run")) {
+        endUnsuccessfully("endpoints refused", StatusBadGateway);
+    }
+}
+
+/** Waits for the endpoint's group as long as that is of use. */
+void ForwardedRequest::onGroupDown(std::string_view atFault)
+{
+    needsRetryBudget_ = true;
+    groupRefusedAt_ = BootClock::now();
+    attempts_.forgetLast(); // The endpoint may be tried again and must not count twice against the route's limit.
+    if (waitForGroup(*endpoint_)) {
+        logFailedAttempt("not-run", StatusUnavailable, atFault, "wait for its group");
+        return;
+    }
+    reject(StatusUnavailable, RetryAfterGroup, "its group does not run");
+}
+
+/** Dispatches the request to another endpoint, after a wait if nothing is known of any. */
+void ForwardedRequest::onAddressTaken()
+{
+    needsRetryBudget_ = true;
+    groupRefusedAt_ = BootClock::now();
+    logFailedAttempt("not-run", StatusMisdirected, {}, "retry");
+    dispatchNext();
+}
+
+void ForwardedRequest::handleStreamEnd(AttemptEnd end)
+{
+    mayHaveRun_ = true;
+    const bool isWhole = end == AttemptEnd::Complete && splitter_.isAtBoundary() && isStreaming_;
+    endAttempt(isWhole ? AttemptOutcome::Answered : AttemptOutcome::Failed);
+    if (isWhole) {
+        context_.crashTracker.recordAnswer(fingerprint_);
+        writer_->endStream();
+        context_.metrics.answers.add();
+        finish("answered", incoming_.head.status, "");
+        return;
+    }
+    if (end == AttemptEnd::ConnectionLost) {
+        waitForProbe();
+    }
+    if (retryElsewhere(toString(end))) {
+        return;
+    }
+    if (isStreaming_) {
+        abortStream(toString(end));
+    } else {
+        fail(StatusBadGateway, toString(end));
+    }
+}
+
+void ForwardedRequest::relayAnswer(BufferedAnswer answer)
+{
+    answer.head.headers.removeHopByHop();
+    firstByteAt_ = BootClock::now();
+    writer_->sendAnswer(answer.head.status, answer.head.headers, answer.body);
+    context_.metrics.answers.add();
+    context_.metrics.firstByte.record(firstByteAt_ - request_.receivedAt);
+    finish("answered", answer.head.status, hasRetried_ ? "retried" : "");
+}
+
+} // namespace magnolia::forward
--- /dev/null
+++ b/libs/forward/src/requestattempts.cpp
@@ -0,0 +1,278 @@
+// Attempts of a ForwardedRequest: choice of the endpoint, dispatch, retries.
+#include "forwardedrequest.h"
+
+#include "outgoingrequest.h"
+#include "retryafter.h"
+#include "statuscodes.h"
+
+#include <utility>
+
+namespace magnolia::forward
+{
+
+namespace
+{
+
+using routing::AttemptOutcome;
+using routing::RouteKind;
+
+// Maximum idle time of a pooled connection for a request that may run at most once. The endpoint is likely to close a
+// connection that has been idle for longer; if it does while the request is on its way, it is unknown whether it ran.
+constexpr Duration MaxIdleAtMostOnce{1000};
+constexpr Duration MaxIdle{60000};
+
+} // namespace
+
+BootClock::duration ForwardedRequest::timeLeft() const
+{
+    return callerDeadlines_.deadline() - BootClock::now();
+}
+
+void ForwardedRequest::dispatchNext()
+{
+    if (endIfQuarantined()) {
+        return;
+    }
+    if (writer_->hasCallerLeft()) { // After a delay of this process the request and the close of the connection may be read together.
+        startTimer();
+        return;
+    }
+    const BootTime now = BootClock::now();
+    if (now >= latestDispatch()) {
+        endOverdue(overdueCause());
+        return;
+    }
+    const routing::EndpointPointer endpoint = chooseEndpoint();
+    if (endpoint != nullptr && now < context_.endpoints.groupAvoidedUntil(*endpoint) && waitForGroup(*endpoint)) {
+        return;
+    }
+    if (endpoint != nullptr && needsRetryBudget_ && !context_.retryAllowanceOf(service_).tryRetry(now)) {
+        context_.metrics.retriesDenied.add();
+        reject(StatusUnavailable, RetryAfterGroup, "its endpoint refused it, and the retry budget is used up");
+        return;
+    }
+    if (endpoint != nullptr) {
+        needsRetryBudget_ = false;
+        dispatch(endpoint);
+        return;
+    }
+    if (attempts_.tried().empty() && waitForUpdate()) {
+        return;
+    }
+    const bool isFirst = attempts_.tried().empty() && !mayHaveRun_ && !isStreaming_;
+    endUnsuccessfully(isFirst ? "no endpoint takes work" : "no other endpoint takes work", StatusBadGateway);
+}
+
+/** @return null if no endpoint is available. Keeps to the number of endpoints that the route allows. */
+routing::EndpointPointer ForwardedRequest::chooseEndpoint() const
+{
+    if (needsRetryBudget_ && attempts_.hasReachedLimit(route_->maxEndpoints)) {
+        const routing::EndpointPointer last = context_.endpoints.find(attempts_.lastReached());
+        return last != nullptr && last->acceptsRequests() ? last : nullptr;
+    }
+    const bool hasReports = context_.crashTracker.nextOrdinal(fingerprint_) > 1;
+    return context_.endpoints.choose({.service = service_, .excluded = attempts_.tried(), .isSuspect = hasReports}, BootClock::now(), context_.random);
+}
+
+void ForwardedRequest::dispatch(const routing::EndpointPointer &endpoint)
+{
+    context_.endpoints.onDispatch(*endpoint, BootClock::now(), context_.random);
+    attempts_.add(endpoint->record.id);
+    ordinal_ = context_.crashTracker.nextOrdinal(fingerprint_);
+    endpoint_ = endpoint;
+    spans_.beginAttempt(endpoint->record.id);
+    sentAt_ = BootClock::now();
+    lastReceivedAt_ = sentAt_;
+    unstartedWhenSent_ = endpoint->unstartedStreams;
+    silenceWhenSent_ = endpoint->inFlight == 0 ? BootClock::duration(0) : sentAt_ - endpoint->silentSince();
+    incoming_ = {};
+    isStreamAnswer_ = false;
+    const bool isAtMostOnce = route_->kind == RouteKind::AtMostOnce;
+    attempt_ = std::make_shared<EndpointAttempt>(EndpointAttempt::Options{.loop = context_.loop,
+                                                                          .connections = &context_.connections,
+                                                                          .protocol = &context_.options.protocol,
+                                                                          .endpoint = endpoint,
+                                                                          .requestId = requestId_,
+                                                                          .message = messageFor(*endpoint),
+                                                                          .isHead = request_.head.method == "HEAD",
+                                                                          .maxIdle = isAtMostOnce ? MaxIdleAtMostOnce : MaxIdle},
+                                                 EndpointAttempt::Callbacks{.onHead = [this](http::MessageHead &head) { onAnswerHead(head); },
+                                                                            .onBody = [this](std::string_view piece) { onAnswerBody(piece); },
+                                                                            .onEnd = [this](AttemptEnd end) { onAttemptEnd(end); }});
+    ++endpoint->inFlight;
+    endpoint->suspectRequests += hasCrashReports() ? 1 : 0;
+    slots_->reserve();
+    if (route_->kind == RouteKind::Stream) {
+        isCountedUnstarted_ = true;
+        ++endpoint->unstartedStreams;
+        context_.livenessMonitor.addRequest(endpoint, this, [moving = weak_from_this()] {
+            const auto self = moving.lock();
+            if (self != nullptr && self->attempt_ != nullptr && !self->leaveUnresponsive("endpoint silent")) {
+                self->startTimer(); // The answer may be due earlier now.
+            }
+        });
+    }
+    context_.metrics.attempts.add();
+    if (!attempt_->start()) {
+        onAttemptEnd(AttemptEnd::NotSent);
+        return;
+    }
+    startTimer();
+}
+
+std::optional<routing::Priority> ForwardedRequest::priority() const
+{
+    return organisation_ != nullptr && organisation_->priority ? organisation_->priority : route_->priority;
+}
+
+std::string ForwardedRequest::messageFor(const routing::Endpoint &endpoint) const
+{
+    return writeRequest(context_.options.protocol,
+                        {.request = &request_,
+                         .expectedInstance = endpoint.record.id,
+                         .timeLeft = std::chrono::duration_cast<Duration>(timeLeft()),
+                         .organisation = organisation_ == nullptr ? std::string_view() : std::string_view(organisation_->name),
+                         .priority = route_->kind == RouteKind::Stream ? priority() : std::nullopt,
+                         .lastEventId = splitter_.lastId(),
+                         .traceparent = spans_.attemptTraceparent()});
+}
+
+bool ForwardedRequest::isRepeatable() const
+{
+    return route_->kind == RouteKind::Idempotent || (route_->kind == RouteKind::Stream && route_->isResumable);
+}
+
+/** Takes one retry from the retry budget if the request may be retried. @return why it may not; empty if it may. */
+std::string_view ForwardedRequest::reserveRetry()
+{
+    if (mayHaveRun_ && !isRepeatable()) {
+        return "may not be repeated";
+    }
+    if (!attempts_.allowsAnother(route_->maxEndpoints)) {
+        return "as many endpoints as allowed were tried";
+    }
+    if (BootClock::now() >= latestDispatch()) {
+        return overdueCause();
+    }
+    if (!context_.retryAllowanceOf(service_).tryRetry(BootClock::now())) {
+        context_.metrics.retriesDenied.add();
+        return "the retry budget is used up";
+    }
+    return {};
+}
+
+void ForwardedRequest::logFailedAttempt(std::string_view end, int status, std::string_view atFault, std::string_view decision)
+{
+    context_.log.logFailedAttempt({.requestId = requestId_,
+                                   .fingerprint = fingerprint_,
+                                   .endpoint = endpoint_->record.id,
+                                   .end = end,
+                                   .status = status,
+                                   .atFault = atFault,
+                                   .decision = decision,
+                                   .took = BootClock::now() - sentAt_,
+                                   .concurrentRequests = endpoint_->inFlight});
+}
+
+/** Logs the state of the current attempt and its endpoint. Called before the attempt is cancelled. */
+void ForwardedRequest::logCancelledAttempt(std::string_view cause)
+{
+    if (attempt_ == nullptr) {
+        return;
+    }
+    const BootTime now = BootClock::now();
+    context_.log.logCancelledAttempt({.requestId = requestId_,
+                                      .endpoint = endpoint_->record.id,
+                                      .cause = cause,
+                                      .isConnected = attempt_->isConnected(),
+                                      .isAnswering = attempt_->hasAnswer(),
+                                      .took = now - sentAt_,
+                                      .callerStays = callerDeadlines_.nextEventDeadline() - now,
+                                      .unstartedAhead = unstartedWhenSent_,
+                                      .silenceWhenSent = silenceWhenSent_,
+                                      .silence = now - lastReceivedAt_,
+                                      .endpointSilence = now - endpoint_->silentSince(),
+                                      .serviceSilence = now - context_.endpoints.serviceLastReceivedAt(service_),
+                                      .concurrentRequests = endpoint_->inFlight});
+}
+
+/** Retries the request at another endpoint if its kind, its route and the retry budget allow. @return false if not. */
+bool ForwardedRequest::retryElsewhere(std::string_view cause)
+{
+    const std::string_view denial = reserveRetry();
+    logFailedAttempt(cause,
+                     incoming_.head.status,
+                     incoming_.head.headers.value(context_.options.protocol.endpointAtFault),
+                     denial.empty() ? std::string_view("retry") : denial);
+    if (!denial.empty()) {
+        return false;
+    }
+    context_.metrics.retries.add();
+    hasRetried_ = true;
+    if (isStreaming_) {
+        context_.metrics.resumed.add();
+    }
+    if (wait_.isFor(RequestWait::For::Probe)) {
+        startTimer();
+    } else {
+        dispatchNext();
+    }
+    return true;
+}
+
+/** After a broken connection: holds back the retry until a probe has found out whether the endpoint crashed, so that the crash counts. */
+void ForwardedRequest::waitForProbe()
+{
+    const BootTime now = BootClock::now();
+    wait_.begin(RequestWait::For::Probe, now, now + routing::ConnectTimeout);
+    context_.crashTracker.probeEndpoint(endpoint_, {.fingerprint = fingerprint_, .ordinal = ordinal_}, [waiting = weak_from_this()] {
+        const auto self = waiting.lock();
+        if (self != nullptr && self->wait_.stop(RequestWait::For::Probe)) {
+            self->dispatchNext();
+        }
+    });
+}
+
+/** Ends the request if it is quarantined after endpoints crashed while running it. @return true if it has ended. */
+bool ForwardedRequest::endIfQuarantined()
+{
+    const auto left = context_.crashTracker.quarantineLeft(fingerprint_);
+    if (!left) {
+        return false;
+    }
+    constexpr std::string_view Cause = "endpoints ended under this request before";
+    context_.metrics.quarantined.add();
+    if (mayHaveRun_ || isStreaming_) {
+        endUnsuccessfully(Cause, StatusBadGateway);
+    } else {
+        reject(StatusTooManyRequests, *left, Cause);
+    }
+    return true;
+}
+
+void ForwardedRequest::releaseUnstarted()
+{
+    if (std::exchange(isCountedUnstarted_, false)) {
+        --endpoint_->unstartedStreams;
+        slots_->scheduleAdmission();
+    }
+}
+
+void ForwardedRequest::endAttempt(routing::AttemptOutcome outcome)
+{
+    const auto attempt = std::exchange(attempt_, nullptr);
+    if (attempt == nullptr) {
+        return;
+    }
+    attempt->cancel();
+    context_.livenessMonitor.removeRequest(endpoint_->record.id, this);
+    releaseUnstarted();
+    timer_.stop();
+    --endpoint_->inFlight;
+    endpoint_->suspectRequests -= hasCrashReports() ? 1 : 0;
+    slots_->release();
+    spans_.endAttempt(incoming_.head.status, outcome);
+    routing::EndpointTable::onAttemptEnded(*endpoint_, outcome, BootClock::now());
+}
+
+} // namespace magnolia::forward
--- /dev/null
+++ b/libs/forward/src/retryafter.h
@@ -0,0 +1,18 @@
+#ifndef MAGNOLIA_FORWARD_RETRYAFTER_H
+#define MAGNOLIA_FORWARD_RETRYAFTER_H
+
+#include "base/clock.h"
+
+namespace magnolia::forward
+{
+
+// When a rejected caller should try again, by the cause of the rejection.
+constexpr Duration RetryAfterUnavailable{800}; ///< No endpoint accepts work: engines that restart are back after about a second.
+constexpr Duration RetryAfterFull{1000}; ///< Streams last one to two seconds.
+/** A group that did not recover while its caller waited lacks a rank, which is restarted or replaced within some seconds. */
+constexpr Duration RetryAfterGroup{1800};
+constexpr Duration RetryAfterStopping{50}; ///< Other instances accept the request at once.
+
+} // namespace magnolia::forward
+
+#endif
--- /dev/null
+++ b/libs/forward/tests/answerkindtest.cpp
@@ -0,0 +1,77 @@
+#include "answerkind.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace magnolia::forward
+{
+
+namespace
+{
+
+struct AnswerKindFixture {
+    AnswerKindFixture()
+    {
+        endpoint.record = {.id = "e1", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4};
+        endpoint.load = {.running = 4, .waiting = 1, .slots = 4};
+    }
+
+    AnswerKind kindOf(int status, const std::string &header = {}, const std::string &value = "1", bool hasCurrentLoad = true) const
+    {
+        http::MessageHead head;
+        head.status = status;
+        if (!header.empty()) {
+            head.headers.add(header, value);
+        }
+        if (header == protocol.endpointAtFault) {
+            head.headers.add(protocol.notRun, "1");
+        }
+        return classifyAnswer(head, protocol, endpoint, hasCurrentLoad);
+    }
+
+    Protocol protocol;
+    routing::Endpoint endpoint;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AnswerKindTest, AnswerKindFixture)
+
+BOOST_AUTO_TEST_CASE(answer_withoutProof_isASuccessOnlyIfItIsProved)
+{
+    BOOST_TEST((kindOf(200) == AnswerKind::Unproved));
+    BOOST_TEST((kindOf(200, protocol.answerProof) == AnswerKind::Success));
+    BOOST_TEST((kindOf(404) == AnswerKind::Success)); // The endpoint's own answer, which is relayed.
+}
+
+BOOST_AUTO_TEST_CASE(answer_serverError_mayHaveRunUnlessItSaysOtherwise)
+{
+    BOOST_TEST((kindOf(503) == AnswerKind::Failure));
+    BOOST_TEST(!isNotRun(kindOf(500)));
+    BOOST_TEST((kindOf(503, protocol.notRun) == AnswerKind::Refused));
+}
+
+BOOST_AUTO_TEST_CASE(rejection_misdirected_isForAnotherEndpointAtTheAddress)
+{
+    BOOST_TEST((kindOf(421) == AnswerKind::AddressTaken));
+    BOOST_TEST(isNotRun(kindOf(421)));
+}
+
+BOOST_AUTO_TEST_CASE(rejection_namesAPeer_isForTheGroup)
+{
+    BOOST_TEST((kindOf(503, protocol.endpointAtFault, "10.0.0.9:80") == AnswerKind::GroupDown));
+    BOOST_TEST((kindOf(503, protocol.endpointAtFault, "10.0.0.1:80") == AnswerKind::Refused));
+    BOOST_TEST((kindOf(429, protocol.endpointAtFault, "10.0.0.9:80") == AnswerKind::Refused));
+}
+
+BOOST_AUTO_TEST_CASE(rejection_withFreeSlots_isForTheGroupIfTheLoadIsCurrent)
+{
+    endpoint.load = {.running = 1, .waiting = 0, .slots = 4};
+    BOOST_TEST((kindOf(503, protocol.notRun) == AnswerKind::GroupDown));
+    BOOST_TEST((kindOf(503, protocol.notRun, "1", false) == AnswerKind::Refused));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace magnolia::forward
