routing: an endpoint is chosen again once a later entry for its address is gone

Found by reading the diff: an endpoint that a later entry at its address had made the last choice stayed so after that entry was removed, until it answered or was listed anew. An entry of another writer could keep an endpoint idle for good.

endpoint_laterEntryForItsAddressIsRemoved_isChosenAgain failed before ("!table.find("d")->isReplaced has failed"), and passes.

--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -107,6 +107,8 @@
     std::erase(found->second, endpoint);
     if (found->second.empty()) {
         byAddress_.erase(found);
+    } else {
+        markReplaced(endpoint->record.address);
     }
 }
 
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -300,6 +300,16 @@
     BOOST_TEST(!table.find("new")->isReplaced);
 }
 
+// Guards against an endpoint staying the last choice for good because another program listed its address for a while.
+BOOST_AUTO_TEST_CASE(endpoint_laterEntryForItsAddressIsRemoved_isChosenAgain)
+{
+    table.put({.id = "d", .service = "t", .address = "10.0.0.7:80", .dataCentre = "north", .slots = 4, .listedAt = 5});
+    table.put({.id = "other", .service = "t", .address = "10.0.0.7:80", .dataCentre = "north", .slots = 4, .listedAt = 6});
+    BOOST_REQUIRE(table.find("d")->isReplaced);
+    table.remove("other");
+    BOOST_TEST(!table.find("d")->isReplaced);
+}
+
 BOOST_AUTO_TEST_CASE(endpoints_rejectForOneNotOnTheList_areOneGroup)
 {
     table.onRefusedForPeer(*table.find("a"), "gone:80", Now);
