--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-using routing::AttemptOutcome;
 using routing::RouteKind;
 
 // Maximum idle time of a pooled connection for a request that may run at most once. The endpoint is likely to close a
