forward: what endpoints state in their answers is read in one place and logged

An incident: endpoints that had asked for rest were sent more requests. The logs could not tell whether an entry knew of the rest. StatementReader now reads load, rate limit, rest (Retry-After of 503 and 429) and leaving from the head of each answer; EndpointAvailability keeps the last two for each endpoint. No decision asks it yet, so nothing is sent differently. Three counters tell rests, and requests that contradict a rest or a leaving.

http_test, routing_test, forward_test and stated_limit_test pass.

--- a/libs/forward/src/forwardcontext.h
+++ b/libs/forward/src/forwardcontext.h
@@ -10,6 +10,7 @@
 #include "livenessmonitor.h"
 #include "requestlog.h"
 #include "slotqueue.h"
+#include "statementreader.h"
 
 #include <functional>
 #include <memory>
@@ -124,6 +125,7 @@
     CrashTracker crashTracker;
     LivenessMonitor livenessMonitor;
     RequestLog log;
+    StatementReader statements{{.protocol = options.protocol, .endpoints = endpoints, .log = log, .metrics = metrics, .random = random}};
     bool isStopping = false;
     BootTime acceptsUntil; ///< While stopping: every new request is accepted until then.
     BootTime exitsAt; ///< While stopping: the process exits then at the latest.
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -71,6 +71,7 @@
     // Attempts.
     void dispatchNext();
     void dispatch(const routing::EndpointPointer &endpoint);
+    void countUnwantedDispatch(const routing::Endpoint &endpoint);
     std::optional<routing::Priority> priority() const;
     std::string messageFor(const routing::Endpoint &endpoint) const;
     bool isRepeatable() const;
@@ -89,7 +90,6 @@
 
     // Answers.
     void onAnswerHead(http::MessageHead &head);
-    void updateRateLimit(const http::MessageHead &head);
     void onAnswerBody(std::string_view piece);
     void onAttemptEnd(AttemptEnd end);
     void handleWholeAnswer();
--- a/libs/forward/src/forwardmetrics.h
+++ b/libs/forward/src/forwardmetrics.h
@@ -24,6 +24,9 @@
         , endpointCrashes(metrics.counter("magnolia_forward_ends_under_requests_total", "Requests under which an endpoint ended, each time."))
         , quarantined(metrics.counter("magnolia_forward_quarantined_total", "Requests refused since endpoints ended under their like."))
         , reportedRequests(metrics.gauge("magnolia_forward_reported_requests", "Requests that endpoints were reported to have ended under."))
+        , rests(metrics.counter("magnolia_forward_rests_total", "Times that an endpoint turned a request away and asked for rest."))
+        , sentInRest(metrics.counter("magnolia_forward_sent_in_rest_total", "Requests sent to endpoints that had asked for rest until later."))
+        , sentToLeaving(metrics.counter("magnolia_forward_sent_to_leaving_total", "Requests sent to endpoints that had stated that they leave."))
         , livenessChecks(metrics.counter("magnolia_forward_liveness_checks_total", "Silent endpoints asked for a sign of life, each time."))
         , silentEndpoints(metrics.gauge("magnolia_forward_silent_endpoints", "Endpoints that gave no sign of life when last asked."))
         , callers(metrics.gauge("magnolia_forward_caller_connections", "Open connections of callers."))
@@ -47,6 +50,9 @@
     observe::Counter &endpointCrashes;
     observe::Counter &quarantined;
     observe::Gauge &reportedRequests;
+    observe::Counter &rests;
+    observe::Counter &sentInRest;
+    observe::Counter &sentToLeaving;
     observe::Counter &livenessChecks;
     observe::Gauge &silentEndpoints;
     observe::Gauge &callers;
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -1,7 +1,6 @@
 // Answers to the attempts of a ForwardedRequest, and what they mean for it.
 #include "forwardedrequest.h"
 
-#include "headervalues.h"
 #include "retryafter.h"
 #include "statuscodes.h"
 
@@ -37,14 +36,9 @@
     const auto self = shared_from_this();
     lastReceivedAt_ = BootClock::now();
     context_.endpoints.onDataReceived(*endpoint_, lastReceivedAt_);
-    const Protocol &protocol = context_.options.protocol;
-    if (protocol.parseLoad != nullptr) {
-        if (const auto load = protocol.parseLoad(head.headers.value(protocol.load))) {
-            routing::EndpointTable::onLoadReport(*endpoint_, *load, lastReceivedAt_);
-            slots_->limit().onLoadReport(*load, lastReceivedAt_);
-        }
+    if (const auto load = context_.statements.read(*endpoint_, {.status = head.status, .headers = head.headers}, lastReceivedAt_)) {
+        slots_->limit().onLoadReport(*load, lastReceivedAt_);
     }
-    updateRateLimit(head);
     incoming_.head = head;
     releaseUnstarted();
     context_.endpoints.onAnswerStarted(*endpoint_, sentAt_);
@@ -62,22 +56,6 @@
     }
 }
 
-void ForwardedRequest::updateRateLimit(const http::MessageHead &head)
-{
-    if (head.status == StatusMisdirected) {
-        return; // The answer may come from another endpoint that now has this address.
-    }
-    const std::string *stated = head.headers.find(context_.options.protocol.rateLimit);
-    const auto perSecond = stated != nullptr ? parseRate(*stated) : std::nullopt;
-    if (stated != nullptr && !perSecond) {
-        context_.log.logInvalidRateLimit(endpoint_->record.id, *stated);
-        return;
-    }
-    if (context_.endpoints.updateRateLimit(*endpoint_, perSecond, lastReceivedAt_, context_.random)) {
-        context_.log.logRateLimit(endpoint_->record.id, perSecond);
-    }
-}
-
 void ForwardedRequest::onAnswerBody(std::string_view piece)
 {
     const auto self = shared_from_this();
--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -75,6 +75,7 @@
 
 void ForwardedRequest::dispatch(const routing::EndpointPointer &endpoint)
 {
+    countUnwantedDispatch(*endpoint);
     context_.endpoints.onDispatch(*endpoint, BootClock::now(), context_.random);
     attempts_.add(endpoint->record.id);
     ordinal_ = context_.crashTracker.nextOrdinal(fingerprint_);
@@ -119,6 +120,17 @@
     startTimer();
 }
 
+/** Counts a dispatch that contradicts what the endpoint has stated. */
+void ForwardedRequest::countUnwantedDispatch(const routing::Endpoint &endpoint)
+{
+    if (endpoint.availability.isResting(BootClock::now())) {
+        context_.metrics.sentInRest.add();
+    }
+    if (endpoint.availability.isLeaving()) {
+        context_.metrics.sentToLeaving.add();
+    }
+}
+
 std::optional<routing::Priority> ForwardedRequest::priority() const
 {
     return organisation_ != nullptr && organisation_->priority ? organisation_->priority : route_->priority;
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -104,10 +104,24 @@
     }
 }
 
-void RequestLog::logInvalidRateLimit(std::string_view endpoint, std::string_view text)
+void RequestLog::logRest(std::string_view endpoint, Duration rest, int status)
 {
     if (reserveLine()) {
-        log()->warn("Rate limit of an endpoint unreadable id={} text={}", endpoint, text);
+        log()->info("Endpoint asks for rest id={} rest_ms={} status={}", endpoint, rest.count(), status);
+    }
+}
+
+void RequestLog::logLeaving(std::string_view endpoint)
+{
+    if (reserveLine()) {
+        log()->info("Endpoint states that it leaves id={}", endpoint);
+    }
+}
+
+void RequestLog::logUnreadable(std::string_view what, std::string_view endpoint, std::string_view text)
+{
+    if (reserveLine()) {
+        log()->warn("{} of an endpoint unreadable id={} text={}", what, endpoint, text);
     }
 }
 
--- a/libs/forward/src/requestlog.h
+++ b/libs/forward/src/requestlog.h
@@ -66,7 +66,7 @@
 };
 
 /**
- * Writes one line for each ended request, failed attempt, cancelled attempt and change of a limit.
+ * Writes one line for each ended request, failed attempt, cancelled attempt, change of a limit and statement of an endpoint.
  *
  * The number of lines per second is limited. Omitted lines are counted, and the count is logged before the first line of a
  * later second. One per entry.
@@ -82,7 +82,15 @@
 
     /** @param perSecond the new limit; nothing: the endpoint no longer states one. */
     void logRateLimit(std::string_view endpoint, std::optional<double> perSecond);
-    void logInvalidRateLimit(std::string_view endpoint, std::string_view text);
+
+    /** An endpoint turned a request away and asked for rest. */
+    void logRest(std::string_view endpoint, Duration rest, int status);
+
+    /** An endpoint stated for the first time that it leaves. */
+    void logLeaving(std::string_view endpoint);
+
+    /** @param what the statement of an endpoint that can't be read, e.g. "Rate limit". */
+    void logUnreadable(std::string_view what, std::string_view endpoint, std::string_view text);
 
     /** The concurrency limit of a service was lowered after a long pause of a stream. */
     void logStreamLimit(std::string_view service, BootClock::duration pause, std::size_t inProgress, double limit);
--- a/libs/forward/tests/forwardfixture.h
+++ b/libs/forward/tests/forwardfixture.h
@@ -26,11 +26,11 @@
         + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
 }
 
-/** A rejection of a request that the endpoint did not run. */
-
-inline std::string rejectionAnswer(int status, std::string_view id)
+/** A rejection of a request that the endpoint did not run. @param headers further header lines. */
+inline std::string rejectionAnswer(int status, std::string_view id, std::string_view headers = {})
 {
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Request-Id: " + std::string(id) + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Request-Id: " + std::string(id) + "\r\nX-Not-Run: 1\r\n" + std::string(headers)
+        + "Content-Length: 0\r\n\r\n";
 }
 
 /** Status line and headers of a successful event stream. */
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "routing/endpointavailability.h"
 #include "routing/firsteventlatency.h"
 #include "routing/ratelimitshare.h"
 #include "routing/routetable.h"
@@ -48,6 +49,7 @@
     std::uint32_t unstartedStreams = 0; ///< Streams among inFlight that had no first event yet.
     std::uint32_t suspectRequests = 0; ///< Requests among inFlight for which there are crash reports.
     RateLimitShare limit;
+    EndpointAvailability availability;
     LoadReport load;
     std::uint32_t inFlightAtReport = 0; ///< Value of inFlight when the load report was received.
     BootTime reportedAt;
