routing, forward: an endpoint that rests or leaves is sent nothing

What callers and endpoints saw: endpoints that had answered 503 and asked for 3 s of rest got 4 to 8 requests from one entry in that time, two are allowed; callers were refused with 'its group does not run' while two thirds of the endpoints served.

Cause: a statement of the endpoint's that no decision asked. A rejection with free slots was taken for a group that is down, so the request went back to the same endpoint at each probe of the group, and the idle endpoint was the cheapest choice for all others. Being avoided is an order of preference; a rest and a leaving are prohibitions.

EndpointAvailability holds both with their end, in the endpoint's own terms, and EndpointTable::mayDispatch() is the one question whether an endpoint may be sent a request: by its list entry, its rest or leaving, and its rate limit. It is asked by choice, admission of streams, and the retry that goes back to the last endpoint, which had asked for none of the last two. Liveness checks leave resting endpoints alone, and read both statements from the answers to checks. Statements outlive the entry on the list until a later run begins. After a rest an endpoint is probed with one request at a time; entries return at different times. If all endpoints rest, requests wait as long as their callers have time, else their callers are told at once when the first rest ends.

Ruled out by the logs: state lost at the entry (no list change at that time); a restart, freeze or cut.

--- a/libs/forward/src/answerkind.cpp
+++ b/libs/forward/src/answerkind.cpp
@@ -1,5 +1,6 @@
 #include "answerkind.h"
 
+#include "http/retryaftervalue.h"
 #include "statuscodes.h"
 
 #include <string_view>
@@ -17,8 +18,9 @@
     }
     const std::string_view atFault = head.headers.value(protocol.endpointAtFault);
     const bool isForNamedPeer = !atFault.empty() && atFault != endpoint.record.address;
-    // An endpoint that refuses with free capacity can't run anything at the moment, e.g. because its group is forming.
-    const bool hasFreeSlots = hasCurrentLoad && endpoint.load.running + endpoint.load.waiting < endpoint.record.slots;
+    // An endpoint that refuses with free capacity can't run anything at the moment, e.g. because its group is forming; unless it asks for rest by itself.
+    const bool asksForRest = head.headers.find(http::RetryAfterHeader) != nullptr;
+    const bool hasFreeSlots = !asksForRest && hasCurrentLoad && endpoint.load.running + endpoint.load.waiting < endpoint.record.slots;
     return head.status == StatusUnavailable && (isForNamedPeer || hasFreeSlots) ? AnswerKind::GroupDown : AnswerKind::Refused;
 }
 
--- a/libs/forward/src/attempthistory.h
+++ b/libs/forward/src/attempthistory.h
@@ -55,6 +55,12 @@
         return tried_;
     }
 
+    /** As tried(), without the endpoint of the last counted attempt. */
+    std::span<const std::string> triedBeforeLast() const
+    {
+        return tried().first(tried_.empty() ? 0 : tried_.size() - 1);
+    }
+
     /** Id of the endpoint of the last counted attempt; empty if there is none. */
     std::string_view lastTried() const
     {
--- a/libs/forward/src/forwardcontext.h
+++ b/libs/forward/src/forwardcontext.h
@@ -34,8 +34,9 @@
         , connections(eventLoop)
         , random(seededRandom())
         , metrics(metricsRegistry)
+        , statements({.protocol = options.protocol, .endpoints = endpoints, .connections = connections, .log = log, .metrics = metrics, .random = random})
         , crashTracker(eventLoop, connections, options.quarantine, metrics, [this] { scheduleNotification(); })
-        , livenessMonitor(eventLoop, endpoints, metrics, options.protocol.livenessPath)
+        , livenessMonitor({.loop = eventLoop, .endpoints = endpoints, .statements = statements, .metrics = metrics, .path = options.protocol.livenessPath})
         , notifyTimer(eventLoop, [this] { notifyWaiters(); })
     {
     }
@@ -97,7 +98,7 @@
         }
         const std::string name(service);
         SlotQueue::Service capacity{.hasOpening = [this, name] { return endpoints.canAdmitStream(name, BootClock::now(), random); },
-                                    .slots = [this, name] { return endpoints.slotsOf(name); },
+                                    .slots = [this, name] { return endpoints.slotsOf(name, BootClock::now()); },
                                     .instances = [this] { return endpoints.instances(); }};
         return *slotQueues.emplace(name, std::make_unique<SlotQueue>(loop, std::move(capacity))).first->second;
     }
@@ -122,10 +123,10 @@
     EndpointConnectionPool connections;
     Random random;
     ForwardMetrics metrics;
+    RequestLog log;
+    StatementReader statements;
     CrashTracker crashTracker;
     LivenessMonitor livenessMonitor;
-    RequestLog log;
-    StatementReader statements{{.protocol = options.protocol, .endpoints = endpoints, .log = log, .metrics = metrics, .random = random}};
     bool isStopping = false;
     BootTime acceptsUntil; ///< While stopping: every new request is accepted until then.
     BootTime exitsAt; ///< While stopping: the process exits then at the latest.
--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -29,6 +29,8 @@
 
 constexpr Duration OverdueRecheckInterval{100};
 
+constexpr Duration MaxReturnDelay{500};
+
 constexpr std::string_view TraceHeader = "traceparent"; // W3C trace context.
 
 } // namespace
@@ -158,6 +160,29 @@
     return true;
 }
 
+/** Waits until the first of the resting endpoints may be sent the request. @return false if that is too late. */
+bool ForwardedRequest::waitForRest()
+{
+    const auto ends = context_.endpoints.nextRestEnd({.service = service_, .excluded = attempts_.tried()}, BootClock::now());
+    // A caller without an answer may still try another instance, which may not have been asked for rest.
+    const BootTime latest = mayHaveRun_ || isStreaming_ ? latestDispatch() : std::min(updateWaitEnds_, latestDispatch());
+    if (!ends || *ends >= latest) {
+        return false;
+    }
+    beginWaiting(*ends);
+    return true;
+}
+
+/** Tells the caller when the first of the resting endpoints accepts requests again. */
+void ForwardedRequest::rejectUntilRestEnds()
+{
+    const BootTime now = BootClock::now();
+    const BootTime ends = context_.endpoints.nextRestEnd({.service = service_, .excluded = attempts_.tried()}, now).value_or(now);
+    // Callers that were rejected during the rest would otherwise all return in the moment in which it ends.
+    const Duration delay(std::uniform_int_distribution<Duration::rep>(0, MaxReturnDelay.count())(context_.random));
+    reject(StatusUnavailable, std::chrono::ceil<Duration>(ends - now) + delay, "its endpoints asked for rest");
+}
+
 bool ForwardedRequest::hasGroupRecovered() const
 {
     const auto served = context_.lastGoodAnswerAt.find(service_);
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -60,6 +61,7 @@
     SlotQueue::Callback slotCallback();
     bool waitForUpdate();
     bool waitForGroup(const routing::Endpoint &endpoint);
+    bool waitForRest();
     void beginWaiting(BootTime until);
     void resumeAfterUpdate();
     bool hasGroupRecovered() const;
@@ -78,6 +80,8 @@
     bool retryElsewhere(std::string_view cause);
     void waitForProbe();
     bool endIfQuarantined();
+    bool endpointsRest(std::span<const std::string> excluded) const;
+    bool endForRest();
 
     /** Crashes had been reported for this request when the current attempt was dispatched. */
     bool hasCrashReports() const
@@ -96,6 +100,7 @@
     void handleRejectedAttempt(AnswerKind kind);
     void onAddressTaken();
     void onGroupDown(std::string_view atFault);
+    void onAllResting();
     void handleFailure();
     void relayEvents(std::string_view piece);
     void recordPause();
@@ -118,6 +123,7 @@
     void endUnsuccessfully(std::string_view cause, int failedStatus);
     void endAttempt(routing::AttemptOutcome outcome);
     void reject(int status, Duration retryAfter, std::string_view cause);
+    void rejectUntilRestEnds();
     void fail(int status, std::string_view cause);
     void sendLocalAnswer(int status, std::optional<Duration> retryAfter, std::string_view cause);
     void abortStream(std::string_view cause);
--- a/libs/forward/src/livenessmonitor.cpp
+++ b/libs/forward/src/livenessmonitor.cpp
@@ -36,10 +36,7 @@
 
 } // namespace
 
-LivenessMonitor::LivenessMonitor(event_base *loop, const routing::EndpointTable &endpoints, ForwardMetrics &metrics, std::string path)
-    : loop_(loop), endpoints_(endpoints), metrics_(metrics), path_(std::move(path)), timer_(loop, [this] { checkAll(); })
-{
-}
+LivenessMonitor::LivenessMonitor(Options options) : options_(std::move(options)), timer_(options_.loop, [this] { checkAll(); }) {}
 
 void LivenessMonitor::addRequest(const routing::EndpointPointer &endpoint, const void *request, std::function<void()> onUnresponsive)
 {
@@ -107,7 +104,7 @@
     monitored.endpoint->isSuspected = false;
     const bool wasUnresponsive = std::exchange(monitored.endpoint->isUnresponsive, false);
     if (wasUnresponsive) {
-        metrics_.silentEndpoints.add(-1);
+        options_.metrics.silentEndpoints.add(-1);
     }
     return wasUnresponsive;
 }
@@ -124,13 +121,16 @@
     if (endpoint.isSuspected) {
         return false; // A check is running.
     }
+    if (endpoint.availability.isResting(now)) {
+        return false;
+    }
     if (endpoint.isUnresponsive) {
         return now - monitored.checkedAt >= RecheckInterval;
     }
     if (endpoint.limit.isLimited()) {
         return false; // A check would count against the endpoint's stated rate limit.
     }
-    const Duration patience = endpoints_.hasFallenBehind(endpoint) ? SilenceWhilePeersAnswer : SilenceOfWholeService;
+    const Duration patience = options_.endpoints.hasFallenBehind(endpoint) ? SilenceWhilePeersAnswer : SilenceOfWholeService;
     return now - endpoint.silentSince() >= patience && now - monitored.checkedAt >= CheckInterval;
 }
 
@@ -139,12 +139,12 @@
     const std::string &id = monitored.endpoint->record.id;
     monitored.checkedAt = now;
     monitored.endpoint->isSuspected = true;
-    metrics_.livenessChecks.add();
+    options_.metrics.livenessChecks.add();
     if (monitored.client == nullptr) {
         monitored.client =
-            std::make_unique<http::HttpClient>(loop_, http::HttpClient::Options{.address = monitored.endpoint->record.address, .maxConnections = 1});
+            std::make_unique<http::HttpClient>(options_.loop, http::HttpClient::Options{.address = monitored.endpoint->record.address, .maxConnections = 1});
     }
-    monitored.client->send({.path = path_, .timeout = CheckTimeout}, [this, id](const Result<http::Response> &answer) { onCheckEnd(id, answer); });
+    monitored.client->send({.path = options_.path, .timeout = CheckTimeout}, [this, id](const Result<http::Response> &answer) { onCheckEnd(id, answer); });
 }
 
 void LivenessMonitor::onCheckEnd(const std::string &id, const Result<http::Response> &answer)
@@ -157,6 +157,13 @@
     const BootTime now = BootClock::now();
     detectOwnDelay(now);
     monitored.endpoint->isSuspected = false;
+    if (answer) {
+        http::HeaderList headers;
+        for (const auto &[name, value] : answer->headers) {
+            headers.add(name, value);
+        }
+        options_.statements.readAvailability(*monitored.endpoint, {.status = answer->status, .headers = headers}, now);
+    }
     // An endpoint that refuses or closes the connection is reachable; if it has crashed, its requests fail on their own connections.
     const bool isLate = !answer && answer.error().code == ErrorCode::DeadlineExceeded;
     if (!isLate) {
@@ -172,12 +179,12 @@
 {
     routing::Endpoint &endpoint = *monitored.endpoint;
     if (!std::exchange(endpoint.isUnresponsive, true)) {
-        metrics_.silentEndpoints.add(1);
+        options_.metrics.silentEndpoints.add(1);
         log()->warn("Endpoint unresponsive id={} address={} silent_ms={} service_silent_ms={} in_progress={}",
                     endpoint.record.id,
                     endpoint.record.address,
                     milliseconds(now - endpoint.silentSince()),
-                    milliseconds(now - endpoints_.serviceLastReceivedAt(endpoint.record.service)),
+                    milliseconds(now - options_.endpoints.serviceLastReceivedAt(endpoint.record.service)),
                     endpoint.inFlight);
     }
     std::vector<std::function<void()>> callbacks;
--- a/libs/forward/src/livenessmonitor.h
+++ b/libs/forward/src/livenessmonitor.h
@@ -5,6 +5,7 @@
 #include "http/httpclient.h"
 #include "http/timer.h"
 #include "routing/endpointtable.h"
+#include "statementreader.h"
 
 #include <functional>
 #include <memory>
@@ -20,7 +21,8 @@
  *
  * An endpoint that sends nothing for any of its requests is suspected, sooner if other endpoints of its service do send. It
  * then gets a liveness check on a separate connection. If it does not answer in time, it is marked unresponsive, receives no
- * new requests, and is checked again until it answers. Owned by the task, used on its loop.
+ * new requests, and is checked again until it answers. A check is a request as well, so none is sent to an endpoint that rests. Owned by the task, used on its
+ * loop.
  *
  * @code
  * monitor.addRequest(endpoint, this, [this] { moveToOtherEndpoint(); });
@@ -30,17 +32,22 @@
 class LivenessMonitor
 {
 public:
-    /**
-     * @param endpoints outlives this, as do the metrics.
-     * @param path which endpoints answer at once under any load; any answer counts. Empty: the monitor is disabled.
-     */
-    LivenessMonitor(event_base *loop, const routing::EndpointTable &endpoints, ForwardMetrics &metrics, std::string path);
+    /** What it refers to outlives it. */
+    struct Options {
+        event_base *loop = nullptr;
+        const routing::EndpointTable &endpoints;
+        StatementReader &statements;
+        ForwardMetrics &metrics;
+        std::string path{}; ///< Path that endpoints answer at once under any load; any answer counts. Empty: the monitor is disabled.
+    };
+
+    explicit LivenessMonitor(Options options);
     LivenessMonitor(const LivenessMonitor &) = delete;
     LivenessMonitor &operator=(const LivenessMonitor &) = delete;
 
     bool isEnabled() const
     {
-        return !path_.empty();
+        return !options_.path.empty();
     }
 
     /**
@@ -70,10 +77,7 @@
     void markUnresponsive(MonitoredEndpoint &monitored, BootTime now);
     void markResponsive(MonitoredEndpoint &monitored, BootTime now);
 
-    event_base *loop_;
-    const routing::EndpointTable &endpoints_;
-    ForwardMetrics &metrics_;
-    std::string path_;
+    Options options_;
     routing::TextMap<MonitoredEndpoint> monitored_; ///< By endpoint id.
     BootTime lastTimerAt_;
     BootTime lastDelayAt_; ///< When this process was last found to be delayed.
--- a/libs/forward/src/localanswer.cpp
+++ b/libs/forward/src/localanswer.cpp
@@ -3,6 +3,7 @@
 #include "base/errorcode.h"
 #include "base/failure.h"
 #include "http/errorbody.h"
+#include "http/retryaftervalue.h"
 #include "statuscodes.h"
 
 #include <spdlog/fmt/fmt.h>
@@ -37,7 +38,7 @@
     }
     headers.add("Content-Type", "application/json");
     if (answer.retryAfter) {
-        headers.add("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(*answer.retryAfter).count()));
+        headers.add(std::string(http::RetryAfterHeader), fmt::format("{:.3f}", std::chrono::duration<double>(*answer.retryAfter).count()));
     }
     return headers;
 }
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -39,6 +39,9 @@
     if (const auto load = context_.statements.read(*endpoint_, {.status = head.status, .headers = head.headers}, lastReceivedAt_)) {
         slots_->limit().onLoadReport(*load, lastReceivedAt_);
     }
+    if (!isTurnedAway(head.status) && head.status != StatusMisdirected) {
+        endpoint_->availability.onAnswer(sentAt_);
+    }
     incoming_.head = head;
     releaseUnstarted();
     context_.endpoints.onAnswerStarted(*endpoint_, sentAt_);
@@ -225,6 +228,8 @@
         onGroupDown(atFault);
     } else if (mayWait && kind == AnswerKind::AddressTaken && attempts_.allowsAnother(route_->maxEndpoints)) {
         onAddressTaken();
+    } else if (mayWait && chooseEndpoint() == nullptr && endpointsRest(attempts_.triedBeforeLast())) {
+        onAllResting();
     } else if (!retryElsewhere("not-run")) {
         endUnsuccessfully("endpoints refused", StatusBadGateway);
     }
@@ -243,6 +248,19 @@
     reject(StatusUnavailable, RetryAfterGroup, "its group does not run");
 }
 
+/** Waits until the first of the resting endpoints may be sent the request, if that is of use. */
+void ForwardedRequest::onAllResting()
+{
+    needsRetryBudget_ = true;
+    groupRefusedAt_ = BootClock::now();
+    attempts_.forgetLast(); // As for a group that does not run.
+    const bool isWaiting = waitForRest();
+    logFailedAttempt("not-run", incoming_.head.status, {}, isWaiting ? "wait for the end of a rest" : "all endpoints rest");
+    if (!isWaiting) {
+        rejectUntilRestEnds();
+    }
+}
+
 /** Dispatches the request to another endpoint, after a wait if nothing is known of any. */
 void ForwardedRequest::onAddressTaken()
 {
--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -55,6 +55,9 @@
         dispatch(endpoint);
         return;
     }
+    if (endpointsRest(attempts_.tried()) && endForRest()) {
+        return;
+    }
     if (attempts_.tried().empty() && waitForUpdate()) {
         return;
     }
@@ -62,12 +65,31 @@
     endUnsuccessfully(isFirst ? "no endpoint takes work" : "no other endpoint takes work", StatusBadGateway);
 }
 
+/** Whether a resting endpoint that is not excluded may be sent the request later. */
+bool ForwardedRequest::endpointsRest(std::span<const std::string> excluded) const
+{
+    return context_.endpoints.nextRestEnd({.service = service_, .excluded = excluded}, BootClock::now()).has_value();
+}
+
+/** Waits for the end of a rest, or tells the caller when to return. @return false if the request can't be rejected as not run. */
+bool ForwardedRequest::endForRest()
+{
+    if (waitForRest()) {
+        return true;
+    }
+    if (mayHaveRun_ || isStreaming_ || fallback_) {
+        return false;
+    }
+    rejectUntilRestEnds();
+    return true;
+}
+
 /** @return null if no endpoint is available. Keeps to the number of endpoints that the route allows. */
 routing::EndpointPointer ForwardedRequest::chooseEndpoint() const
 {
     if (needsRetryBudget_ && attempts_.hasReachedLimit(route_->maxEndpoints)) {
         const routing::EndpointPointer last = context_.endpoints.find(attempts_.lastReached());
-        return last != nullptr && last->acceptsRequests() ? last : nullptr;
+        return last != nullptr && context_.endpoints.mayDispatch(*last, BootClock::now(), context_.random) ? last : nullptr;
     }
     const bool hasReports = context_.crashTracker.nextOrdinal(fingerprint_) > 1;
     return context_.endpoints.choose({.service = service_, .excluded = attempts_.tried(), .isSuspect = hasReports}, BootClock::now(), context_.random);
--- a/libs/forward/src/statementreader.cpp
+++ b/libs/forward/src/statementreader.cpp
@@ -10,14 +10,8 @@
 namespace
 {
 
-constexpr std::string_view RestHeader = "retry-after";
 constexpr std::string_view LeavingValue = "1";
 
-bool turnsAway(int status)
-{
-    return status == StatusUnavailable || status == StatusTooManyRequests;
-}
-
 } // namespace
 
 std::optional<routing::LoadReport> StatementReader::read(routing::Endpoint &endpoint, const Answer &answer, BootTime now)
@@ -27,9 +21,14 @@
         return load; // The answer may come from another endpoint that now has this address.
     }
     readRateLimit(endpoint, answer, now);
+    readAvailability(endpoint, answer, now);
+    return load;
+}
+
+void StatementReader::readAvailability(routing::Endpoint &endpoint, const Answer &answer, BootTime now)
+{
     readRest(endpoint, answer, now);
     readLeaving(endpoint, answer);
-    return load;
 }
 
 std::optional<routing::LoadReport> StatementReader::readLoad(routing::Endpoint &endpoint, const Answer &answer, BootTime now)
@@ -57,7 +56,7 @@
 
 void StatementReader::readRest(routing::Endpoint &endpoint, const Answer &answer, BootTime now)
 {
-    const std::string *stated = turnsAway(answer.status) ? answer.headers.find(RestHeader) : nullptr;
+    const std::string *stated = isTurnedAway(answer.status) ? answer.headers.find(http::RetryAfterHeader) : nullptr;
     if (stated == nullptr) {
         return;
     }
@@ -83,6 +82,7 @@
     }
     if (endpoint.availability.onLeavingStated()) {
         options_.log.logLeaving(endpoint.record.id);
+        options_.connections.closeAll(endpoint.record.id); // They lead to a process that is about to end.
     }
 }
 
--- a/libs/forward/src/statementreader.h
+++ b/libs/forward/src/statementreader.h
@@ -2,6 +2,7 @@
 #define MAGNOLIA_FORWARD_STATEMENTREADER_H
 
 #include "base/random.h"
+#include "endpointconnectionpool.h"
 #include "forward/protocol.h"
 #include "forwardmetrics.h"
 #include "http/headerlist.h"
@@ -29,6 +30,7 @@
     struct Options {
         const Protocol &protocol;
         routing::EndpointTable &endpoints;
+        EndpointConnectionPool &connections;
         RequestLog &log;
         ForwardMetrics &metrics;
         Random &random;
@@ -45,6 +47,9 @@
     /** @return the stated load; nothing if the answer states none. */
     std::optional<routing::LoadReport> read(routing::Endpoint &endpoint, const Answer &answer, BootTime now);
 
+    /** Reads only whether the endpoint rests or leaves, e.g. from the answer to a liveness check, which states no load or limit. */
+    void readAvailability(routing::Endpoint &endpoint, const Answer &answer, BootTime now);
+
 private:
     std::optional<routing::LoadReport> readLoad(routing::Endpoint &endpoint, const Answer &answer, BootTime now);
     void readRateLimit(routing::Endpoint &endpoint, const Answer &answer, BootTime now);
--- a/libs/forward/src/statuscodes.h
+++ b/libs/forward/src/statuscodes.h
@@ -19,6 +19,12 @@
 constexpr int StatusUnavailable = 503;
 constexpr int StatusTimeout = 504;
 
+/** @return true if the status tells that the request was turned away for now, whoever answered. */
+constexpr bool isTurnedAway(int status)
+{
+    return status == StatusUnavailable || status == StatusTooManyRequests;
+}
+
 } // namespace magnolia::forward
 
 #endif
--- a/libs/http/include/http/retryaftervalue.h
+++ b/libs/http/include/http/retryaftervalue.h
@@ -9,6 +9,8 @@
 namespace magnolia::http
 {
 
+constexpr std::string_view RetryAfterHeader = "Retry-After";
+
 /**
  * Parses the value of a Retry-After header.
  *
--- a/libs/routing/include/routing/endpointavailability.h
+++ b/libs/routing/include/routing/endpointavailability.h
@@ -46,10 +46,16 @@
         return now < restEndsAt_;
     }
 
-    /** @return true if there is no statement that still limits requests. */
-    bool isUnrestricted(BootTime now) const
+    /** @return true if the endpoint leaves or rests, so that not even a probe may be sent. */
+    bool refusesRequests(BootTime now) const
     {
-        return !isLeaving_ && !isProbed_ && !isResting(now);
+        return isLeaving_ || isResting(now);
+    }
+
+    /** @return true if nothing has been stated since the endpoint last answered a request. */
+    bool isUnrestricted() const
+    {
+        return !isLeaving_ && !isProbed_;
     }
 
     bool mayDispatch(BootTime now) const
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <span>
@@ -67,7 +68,7 @@
 
     bool acceptsRequests() const
     {
-        return !record.isLeaving && !isRemoved;
+        return !record.isLeaving && !availability.isLeaving() && !isRemoved;
     }
 
     /** @return since when it has been silent while having work; meaningful only with a request in flight there. */
@@ -104,7 +105,8 @@
  * - While no endpoint of a service has answered yet, nothing is known of groups, and the list may still name the endpoints of before a power loss. A
  *   rejection then speaks for all endpoints that have not answered, and they are probed with one request at a time.
  * - An unresponsive endpoint is the last choice but for one whose address another endpoint has.
- * - An endpoint that states a rate limit is chosen only within this entry's share of it.
+ * - An endpoint that states a rate limit is chosen only within this entry's share of it, and one that leaves or asked for rest is not chosen at all, even if
+ *   there is no other. What it stated holds until a later run of it begins, also while its entry is missing from the list.
  * - The number of streams per endpoint that wait for their first event is bounded.
  *
  * Lives as long as its entry's task. Not thread-safe.
@@ -141,7 +143,8 @@
 
     /**
      * Adds an endpoint or updates its record. An endpoint that restarted under the same id starts with fresh state, since load, failures and group of
-     * its earlier run no longer apply. A record of an earlier run than the known one is outdated and ignored.
+     * its earlier run no longer apply; if that had asked for rest or was leaving, the new run is probed. A record of an earlier run than the known one is
+     * outdated and ignored.
      */
     void put(const EndpointRecord &record);
     void remove(std::string_view id);
@@ -152,6 +155,12 @@
     /** Sets the endpoint's rate limit for all entries together. @param perSecond nothing: no limit. @return true if the limit changed. */
     bool updateRateLimit(Endpoint &endpoint, std::optional<double> perSecond, BootTime now, Random &random) const;
 
+    /** Whether the endpoint may be sent a request now, by its list entry and by all that it has stated. */
+    bool mayDispatch(Endpoint &endpoint, BootTime now, Random &random) const;
+
+    /** @return when the first of the endpoints that rest now may be sent a request again; nothing if none rests. */
+    std::optional<BootTime> nextRestEnd(const ChoiceRequest &request, BootTime now) const;
+
     EndpointPointer find(std::string_view id) const;
 
     /** @return all known endpoints of a service, in no particular order. */
@@ -161,8 +170,8 @@
         return byId_.size();
     }
 
-    /** @return the requests that all endpoints of a service run concurrently. */
-    std::size_t slotsOf(std::string_view service) const;
+    /** @return the requests that all endpoints of a service run concurrently; without those that leave or rest. */
+    std::size_t slotsOf(std::string_view service, BootTime now) const;
 
     /** An endpoint rejected a request because a peer of its group is down. Marks the whole group as avoided. */
     void onRefusedForPeer(Endpoint &endpoint, std::string_view peerAddress, BootTime now);
@@ -231,6 +240,15 @@
         BootTime unprovenAvoidUntil; ///< Until then endpoints that have not answered are avoided; the epoch if they are not.
     };
 
+    /** What an endpoint stated whose entry is missing from the list. */
+    struct FormerEndpoint {
+        std::string id;
+        std::uint64_t incarnation = 0;
+        EndpointAvailability availability;
+    };
+
+    void rememberStatements(const Endpoint &endpoint);
+    EndpointAvailability takeStatements(const EndpointRecord &record);
     ServiceActivity &activityOf(std::string_view service);
     bool isAtUnstartedLimit(const Endpoint &endpoint) const;
     AvoidanceLevel avoidanceOf(const Endpoint &endpoint, const ChoiceRequest &request, BootTime now) const;
@@ -249,6 +267,7 @@
     TextMap<std::vector<EndpointPointer>> byService_;
     TextMap<std::vector<EndpointPointer>> byAddress_;
     TextMap<ServiceActivity> activity_; ///< By service.
+    std::deque<FormerEndpoint> formerEndpoints_; ///< In the order of their removal.
     std::uint32_t lastGroup_ = 0;
     TextMap<std::uint32_t> groupsByFaultyAddress_; ///< Key: address that rejections named as the cause; it need not be on the list.
 };
--- a/libs/routing/src/endpointavailability.cpp
+++ b/libs/routing/src/endpointavailability.cpp
@@ -37,8 +37,8 @@
 
 void EndpointAvailability::onNewRun()
 {
+    isProbed_ = !isUnrestricted();
     isLeaving_ = false;
-    isProbed_ = true;
     restEndsAt_ = {};
 }
 
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -44,6 +44,14 @@
 // streams are stuck at an endpoint that becomes unresponsive, where they cannot be cancelled.
 constexpr std::uint32_t UnstartedSlotDivisor = 4;
 
+// Limit on the remembered statements of endpoints that are missing from the list; entries return within seconds of an outage of the list.
+constexpr std::size_t MaxFormerEndpoints = 4000;
+
+bool isExcluded(const Endpoint &endpoint, std::span<const std::string> excluded)
+{
+    return std::find(excluded.begin(), excluded.end(), endpoint.record.id) != excluded.end();
+}
+
 double seconds(BootClock::duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -90,6 +98,7 @@
     remove(record.id);
     auto endpoint = std::make_shared<Endpoint>();
     endpoint->record = record;
+    endpoint->availability = takeStatements(record);
     byId_.emplace(record.id, endpoint);
     byService_[record.service].push_back(endpoint);
     addToAddress(endpoint);
@@ -135,11 +144,38 @@
         return;
     }
     found->second->isRemoved = true;
+    rememberStatements(*found->second);
     std::erase(byService_[found->second->record.service], found->second);
     removeFromAddress(found->second);
     byId_.erase(found);
 }
 
+void EndpointTable::rememberStatements(const Endpoint &endpoint)
+{
+    if (endpoint.availability.isUnrestricted()) {
+        return;
+    }
+    if (formerEndpoints_.size() >= MaxFormerEndpoints) {
+        formerEndpoints_.pop_front();
+    }
+    formerEndpoints_.push_back({.id = endpoint.record.id, .incarnation = endpoint.record.incarnation, .availability = endpoint.availability});
+}
+
+/** @return what the endpoint stated before its entry was removed, as far as it concerns this run of it. */
+EndpointAvailability EndpointTable::takeStatements(const EndpointRecord &record)
+{
+    const auto former = std::find_if(formerEndpoints_.begin(), formerEndpoints_.end(), [&](const FormerEndpoint &one) { return one.id == record.id; });
+    if (former == formerEndpoints_.end()) {
+        return {};
+    }
+    EndpointAvailability availability = former->availability;
+    if (former->incarnation != 0 && former->incarnation < record.incarnation) {
+        availability.onNewRun();
+    }
+    formerEndpoints_.erase(former);
+    return availability;
+}
+
 EndpointPointer EndpointTable::find(std::string_view id) const
 {
     const auto found = byId_.find(id);
@@ -152,15 +188,34 @@
     return found == byService_.end() ? std::span<const EndpointPointer>() : std::span<const EndpointPointer>(found->second);
 }
 
-std::size_t EndpointTable::slotsOf(std::string_view service) const
+std::size_t EndpointTable::slotsOf(std::string_view service, BootTime now) const
 {
     std::size_t slots = 0;
     for (const EndpointPointer &endpoint : endpointsOf(service)) {
-        slots += endpoint->acceptsRequests() && !endpoint->isReplaced ? endpoint->record.slots : 0;
+        const bool isUsable = endpoint->acceptsRequests() && !endpoint->isReplaced && !endpoint->availability.isResting(now);
+        slots += isUsable ? endpoint->record.slots : 0;
     }
     return slots;
 }
 
+bool EndpointTable::mayDispatch(Endpoint &endpoint, BootTime now, Random &random) const
+{
+    return endpoint.acceptsRequests() && endpoint.availability.mayDispatch(now) && endpoint.limit.canSend(instances_, now, random);
+}
+
+std::optional<BootTime> EndpointTable::nextRestEnd(const ChoiceRequest &request, BootTime now) const
+{
+    std::optional<BootTime> earliest;
+    for (const EndpointPointer &endpoint : endpointsOf(request.service)) {
+        const BootTime at = endpoint->availability.nextDispatchAt();
+        const bool isAwaited = endpoint->acceptsRequests() && !endpoint->isReplaced && at > now && !isExcluded(*endpoint, request.excluded);
+        if (isAwaited && (!earliest || at < *earliest)) {
+            earliest = at;
+        }
+    }
+    return earliest;
+}
+
 bool EndpointTable::isAtUnstartedLimit(const Endpoint &endpoint) const
 {
     const std::size_t share = endpoint.record.slots / (UnstartedSlotDivisor * std::max<std::size_t>(instances_, 1));
@@ -190,8 +245,7 @@
     AvoidanceLevel bestAvoidance = AvoidanceLevel::None;
     double bestCost = 0;
     for (const EndpointPointer &endpoint : endpointsOf(request.service)) {
-        const bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), endpoint->record.id) != request.excluded.end();
-        if (isExcluded || !endpoint->acceptsRequests() || !endpoint->limit.canSend(instances_, now, random)) {
+        if (isExcluded(*endpoint, request.excluded) || !mayDispatch(*endpoint, now, random)) {
             continue;
         }
         const AvoidanceLevel avoidance = avoidanceOf(*endpoint, request, now);
@@ -271,6 +325,7 @@
 void EndpointTable::onDispatch(Endpoint &endpoint, BootTime now, Random &random)
 {
     endpoint.limit.consume(instances_, now, random);
+    endpoint.availability.onDispatch(now);
     if (endpoint.groupAvoidUntil != BootTime()) {
         setGroupAvoidUntil(endpoint, now + GroupRetryInterval);
     }
@@ -328,13 +383,13 @@
     bool hasSaturated = false;
     bool hasFreeAvoided = false;
     for (const EndpointPointer &endpoint : endpointsOf(service)) {
-        if (!endpoint->acceptsRequests()) {
+        if (!endpoint->acceptsRequests() || !endpoint->availability.mayDispatch(now)) {
             continue;
         }
         hasAccepting = true;
         const AvoidanceLevel avoidance = avoidanceOf(*endpoint, {.service = service}, now);
         hasSaturated = hasSaturated || avoidance == AvoidanceLevel::Saturated;
-        const bool isFree = avoidance < AvoidanceLevel::Unresponsive && !isAtUnstartedLimit(*endpoint) && endpoint->limit.canSend(instances_, now, random);
+        const bool isFree = avoidance < AvoidanceLevel::Unresponsive && !isAtUnstartedLimit(*endpoint) && mayDispatch(*endpoint, now, random);
         if (isFree && avoidance == AvoidanceLevel::None) {
             return true;
         }
--- a/libs/routing/tests/endpointavailabilitytest.cpp
+++ b/libs/routing/tests/endpointavailabilitytest.cpp
@@ -40,7 +40,7 @@
 BOOST_AUTO_TEST_CASE(noStatement_any_mayDispatch)
 {
     BOOST_TEST(availability.mayDispatch(now));
-    BOOST_TEST(availability.isUnrestricted(now));
+    BOOST_TEST(availability.isUnrestricted());
 }
 
 // Guards against requests to an endpoint within the rest that it asked for, which would turn away each of them.
@@ -65,7 +65,7 @@
     availability.onRestStated(Rest, now, random);
     availability.onAnswer(sentAt);
     BOOST_TEST(!availability.mayDispatch(now + Rest - Moment));
-    BOOST_TEST(!availability.isUnrestricted(now + 2 * Rest));
+    BOOST_TEST(!availability.isUnrestricted());
 }
 
 BOOST_AUTO_TEST_CASE(shorterRest_statedLater_doesNotShortenTheFirst)
@@ -78,7 +78,7 @@
 BOOST_AUTO_TEST_CASE(restOfZero_any_changesNothing)
 {
     availability.onRestStated(Duration(0), now, random);
-    BOOST_TEST(availability.isUnrestricted(now));
+    BOOST_TEST(availability.isUnrestricted());
 }
 
 BOOST_AUTO_TEST_CASE(restOfADay_any_lastsThatLong)
