forward: a request is not sent on a connection that is established during the endpoint's rest

A connection that takes long (a lost SYN, a busy endpoint) carried its request into the rest. The request is held back until the connection is up; if the endpoint rests or leaves by then, it goes elsewhere, as one that was not sent.

EndpointAttemptTest: without the check the request arrives and no end is reported (3 failed checks); with it none fails.

--- a/libs/forward/src/endpointattempt.cpp
+++ b/libs/forward/src/endpointattempt.cpp
@@ -42,6 +42,8 @@
         return "whole";
     case AttemptEnd::NotSent:
         return "not-sent";
+    case AttemptEnd::Withdrawn:
+        return "withdrawn";
     case AttemptEnd::ConnectionLost:
         return "lost";
     case AttemptEnd::Invalid:
@@ -70,16 +72,30 @@
         return false;
     }
     connection_->setCallbacks({
+        .onConnected = [this] { onConnected(); },
         .onData = [this](std::string_view bytes) { onBytes(bytes); },
         .onEnd = [this](http::ConnectionEnd end) { onConnectionEnd(end); },
     });
     if (options_.isHead) {
         parser_.expectNoBody();
     }
-    connection_->send(options_.message);
+    if (connection_->isConnected()) {
+        connection_->send(options_.message);
+    }
     return true;
 }
 
+/** Sends the request, unless the endpoint has asked for rest or stated that it leaves while the connection was being established. */
+void EndpointAttempt::onConnected()
+{
+    const auto self = shared_from_this();
+    if (options_.endpoint->availability.refusesRequests(BootClock::now())) {
+        finish(AttemptEnd::Withdrawn);
+        return;
+    }
+    connection_->send(options_.message);
+}
+
 void EndpointAttempt::cancel()
 {
     if (connection_ != nullptr) {
--- a/libs/forward/src/endpointattempt.h
+++ b/libs/forward/src/endpointattempt.h
@@ -19,11 +19,12 @@
 enum class AttemptEnd : std::uint8_t {
     Complete, ///< The complete answer was received.
     NotSent, ///< No byte of the request was sent, so it did not run there.
+    Withdrawn, ///< As NotSent, because the endpoint asked for rest or stated that it leaves before the connection was established.
     ConnectionLost, ///< The connection closed before the answer was complete.
     Invalid, ///< The received bytes are no valid answer to this request.
 };
 
-/** @return "whole", "not-sent", "lost" or "spoilt". */
+/** @return "whole", "not-sent", "withdrawn", "lost" or "spoilt". */
 std::string_view toString(AttemptEnd end);
 
 /**
@@ -75,6 +76,7 @@
     }
 
 private:
+    void onConnected();
     void onBytes(std::string_view bytes);
     bool handleHead();
     void onMessageEnd(std::string_view trailing);
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -96,6 +96,7 @@
     void onAnswerHead(http::MessageHead &head);
     void onAnswerBody(std::string_view piece);
     void onAttemptEnd(AttemptEnd end);
+    bool dispatchUnsent(AttemptEnd end);
     void handleWholeAnswer();
     void handleRejectedAttempt(AnswerKind kind);
     void onAddressTaken();
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -24,6 +24,19 @@
 
 constexpr std::string_view EventStream = "text/event-stream";
 
+/** @return what the end of an attempt without a valid answer indicates about the endpoint. */
+AttemptOutcome outcomeOf(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Withdrawn:
+        return AttemptOutcome::Refused;
+    case AttemptEnd::NotSent:
+        return AttemptOutcome::Unreachable;
+    default:
+        return AttemptOutcome::Failed;
+    }
+}
+
 bool isSuccess(int status)
 {
     return status >= StatusOk && status < FirstRedirect;
@@ -152,23 +165,14 @@
         handleWholeAnswer();
         return;
     }
-    const bool isUnsent = end == AttemptEnd::NotSent;
+    const bool isUnsent = end == AttemptEnd::NotSent || end == AttemptEnd::Withdrawn;
     mayHaveRun_ = mayHaveRun_ || !isUnsent;
     if (end == AttemptEnd::ConnectionLost) {
         waitForProbe();
     }
-    endAttempt(isUnsent ? AttemptOutcome::Unreachable : AttemptOutcome::Failed);
-    if (isUnsent) {
-        // The request did not reach the endpoint, so the attempt counts neither against the route's limit on endpoints nor as
-        // received by the endpoint.
-        attempts_.forgetLast();
-        endpoint_->avoidUntil = std::max(endpoint_->avoidUntil, BootClock::now() + routing::ConnectTimeout);
-        const bool mayDialAgain = attempts_.count() <= context_.endpoints.endpointsOf(service_).size();
-        if (mayDialAgain && timeLeft().count() > 0) {
-            logFailedAttempt(toString(end), 0, {}, "dial another");
-            dispatchNext();
-            return;
-        }
+    endAttempt(outcomeOf(end));
+    if (isUnsent && dispatchUnsent(end)) {
+        return;
     }
     if (retryElsewhere(toString(end))) {
         return;
@@ -176,6 +180,24 @@
     endUnsuccessfully(toString(end), StatusBadGateway);
 }
 
+/** Dispatches the request again after an attempt in which nothing was sent. @return false if enough endpoints were dialled, or the time is up. */
+bool ForwardedRequest::dispatchUnsent(AttemptEnd end)
+{
+    // The request did not reach the endpoint, so the attempt counts neither against the route's limit on endpoints nor as
+    // received by the endpoint.
+    attempts_.forgetLast();
+    if (end == AttemptEnd::NotSent) {
+        endpoint_->avoidUntil = std::max(endpoint_->avoidUntil, BootClock::now() + routing::ConnectTimeout);
+    }
+    const bool mayDialAgain = attempts_.count() <= context_.endpoints.endpointsOf(service_).size();
+    if (!mayDialAgain || timeLeft().count() <= 0) {
+        return false;
+    }
+    logFailedAttempt(toString(end), 0, {}, "dial another");
+    dispatchNext();
+    return true;
+}
+
 void ForwardedRequest::handleWholeAnswer()
 {
     const bool hasCurrentLoad = endpoint_->reportedAt == lastReceivedAt_;
