store, engine: Retry-After is read with its fraction, by one function

The store's client and the engine's read whole seconds only and took the digits before the point: a rest of 1.5 s was kept for 1 s, one of 0.5 s not at all, and '2 days' for 2 s. Both use http::parseRetryAfter() now, as the entry does.

--- a/libs/engine/src/engineclient.cpp
+++ b/libs/engine/src/engineclient.cpp
@@ -1,12 +1,12 @@
 #include "engine/engineclient.h"
 
 #include "engine/sseparser.h"
+#include "http/retryaftervalue.h"
 #include "http/timer.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <unordered_map>
 #include <utility>
 
@@ -34,17 +34,6 @@
     return found == headers.end() ? std::string() : found->second;
 }
 
-std::optional<Duration> retryAfterOf(const http::Headers &headers)
-{
-    const std::string text = headerOf(headers, "retry-after");
-    unsigned seconds = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
-    if (text.empty() || error != std::errc()) {
-        return std::nullopt;
-    }
-    return std::chrono::seconds(seconds);
-}
-
 /** Sets the fields that the agent decides in the caller's JSON. */
 Result<std::string> engineBody(std::string_view callerBody, std::uint32_t priority, std::uint32_t resumeAfter)
 {
@@ -75,8 +64,10 @@
         }
         return fail(ErrorCode::Conflict, Verdict::NotRun, "the engine's state forbids the order");
     case StatusTooManyRequests:
-        return tl::unexpected(Failure{
-            .code = ErrorCode::RateLimited, .verdict = Verdict::NotRun, .detail = "the weight store refuses", .retryAfter = retryAfterOf(response.headers)});
+        return tl::unexpected(Failure{.code = ErrorCode::RateLimited,
+                                      .verdict = Verdict::NotRun,
+                                      .detail = "the weight store refuses",
+                                      .retryAfter = http::parseRetryAfter(headerOf(response.headers, "retry-after"))});
     case StatusNotFound:
         return fail(ErrorCode::NotFound, Verdict::NotRun, "the engine has no such model or group");
     default:
--- a/libs/engine/tests/engineclienttest.cpp
+++ b/libs/engine/tests/engineclienttest.cpp
@@ -43,6 +43,7 @@
     bool cutInstead = false; ///< Ends the stream there in place of falling silent.
     bool healthy = true;
     int orderStatus = 200;
+    std::string retryAfter = "2"; ///< Of the answers to orders.
     std::vector<Json> requests;
     int plainCalls = 0;
     int hangups = 0;
@@ -57,7 +58,7 @@
                 held_.push_back(std::move(exchange));
             }
         } else if (exchange->path() == "/control/orders") {
-            exchange->reply(orderStatus, {{"retry-after", "2"}}, "{}");
+            exchange->reply(orderStatus, {{"retry-after", retryAfter}}, "{}");
         } else if (exchange->path() == "/v1/chat/completions") {
             stream(std::move(exchange));
         } else {
@@ -255,4 +256,16 @@
     }
 }
 
+// Guards against loads that are repeated before the time that the weight store asked for, because the fraction of a second was dropped.
+BOOST_AUTO_TEST_CASE(refusedLoad_statesFractionOfASecond_itIsKept)
+{
+    engine.orderStatus = 429;
+    engine.retryAfter = "1.5";
+    std::optional<Result<void>> result;
+    client.order({.kind = OrderKind::LoadModel, .model = "chat", .version = "7"}, 3, [&](Result<void> answer) { result = std::move(answer); });
+    runUntil([&] { return result.has_value(); });
+    BOOST_REQUIRE(!result->has_value());
+    BOOST_TEST(result->error().retryAfter.value_or(Duration(0)).count() == 1500);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/store/src/replyreader.cpp
+++ b/libs/store/src/replyreader.cpp
@@ -1,8 +1,9 @@
 #include "replyreader.h"
 
+#include "http/retryaftervalue.h"
+
 #include <event2/http.h>
 
-#include <charconv>
 #include <cstddef>
 #include <cstdlib>
 
@@ -16,17 +17,10 @@
 constexpr int StatusUnavailable = 503;
 constexpr int MaxDepth = 16; ///< Valid answers nest at most four levels deep.
 
-std::optional<std::chrono::milliseconds> parseRetryAfter(const http::Response &response)
+std::optional<Duration> retryAfterOf(const http::Response &response)
 {
     const auto found = response.headers.find("retry-after");
-    if (found == response.headers.end()) {
-        return std::nullopt;
-    }
-    constexpr int MaxSeconds = 3600;
-    int seconds = 0;
-    const auto parsed = std::from_chars(found->second.data(), found->second.data() + found->second.size(), seconds);
-    const bool isInRange = parsed.ec == std::errc() && seconds >= 0 && seconds <= MaxSeconds;
-    return isInRange ? std::optional(std::chrono::milliseconds(std::chrono::seconds(seconds))) : std::nullopt;
+    return found == response.headers.end() ? std::nullopt : http::parseRetryAfter(found->second);
 }
 
 } // namespace
@@ -75,7 +69,7 @@
         .code = isTemporary ? ErrorCode::Unavailable : ErrorCode::ProtocolError,
         .verdict = Verdict::MayHaveRun,
         .detail = "the platform answered " + std::to_string(response.status),
-        .retryAfter = parseRetryAfter(response),
+        .retryAfter = retryAfterOf(response),
     };
 }
 
