forward: a retry to the last endpoint that the route allows observes the endpoint's rate limit

Found while looking for the cause of the resting endpoints elsewhere: the retry that goes back to the last reached endpoint asked for its list entry only.

--- a/libs/forward/tests/forwardfixture.h
+++ b/libs/forward/tests/forwardfixture.h
@@ -112,6 +112,7 @@
         config.routes.back().pauseObjective = Duration(200);
         config.routes.push_back(route("three-endpoints", routing::RouteKind::Stream, 3));
         config.routes.back().isResumable = true;
+        config.routes.push_back(route("one-endpoint", routing::RouteKind::Idempotent, 1));
         config.routes.push_back(route("keyed", routing::RouteKind::Idempotent, 2));
         config.routes.back().isPublic = false;
         config.services = {{.name = "s", .steps = routing::StepModel{.slots = 10, .stepMs = 0.1, .perRequestMs = 1}}};
--- a/libs/forward/tests/statedlimittest.cpp
+++ b/libs/forward/tests/statedlimittest.cpp
@@ -1,4 +1,5 @@
 #include "forwardfixture.h"
+#include "statementfixture.h"
 
 #include <algorithm>
 
@@ -103,4 +104,21 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(RateLimitOfLastEndpointTest, StatementFixture)
+
+// Guards against retries that go back to the only endpoint that the route still allows, without regard to the limit that it states.
+BOOST_AUTO_TEST_CASE(endpointStatesALimitAndRejects_retriesMayGoThereOnly_limitIsObserved)
+{
+    Endpoint &limited = addStatingEndpoint();
+    limited.status = 503;
+    limited.headers = "X-Load: 0,0,4\r\nX-Rate-Limit: 1\r\n";
+    addStatingEndpoint();
+    runLoad(LimitAdoptionTime, "one-endpoint");
+    const MonoTime limitKnownAt = MonoClock::now();
+    runLoad(Window, "one-endpoint");
+    BOOST_TEST(limited.arrivedSince(limitKnownAt) <= static_cast<int>(MaxArrivalsInWindow));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace magnolia::forward
