forward: an endpoint that turns requests away alone is not taken for its whole group

A 503 with free slots was taken for a group that can't run, whatever others did. Now, if the service began a good answer within the last second, such a rejection is the endpoint's own: it is avoided for a time that doubles, and the request goes elsewhere. With no good answer in that second it is read as before.

--- a/libs/forward/src/answerkind.cpp
+++ b/libs/forward/src/answerkind.cpp
@@ -11,25 +11,32 @@
 namespace
 {
 
-AnswerKind classifyRejection(const http::MessageHead &head, const Protocol &protocol, const routing::Endpoint &endpoint, bool hasCurrentLoad)
+AnswerKind classifyRejection(const http::MessageHead &head, const Protocol &protocol, const AnsweringEndpoint &from)
 {
     if (head.status == StatusMisdirected) {
         return AnswerKind::AddressTaken;
     }
     const std::string_view atFault = head.headers.value(protocol.endpointAtFault);
+    const routing::Endpoint &endpoint = from.endpoint;
     const bool isForNamedPeer = !atFault.empty() && atFault != endpoint.record.address;
-    // An endpoint that refuses with free capacity can't run anything at the moment, e.g. because its group is forming; unless it asks for rest by itself.
+    if (head.status == StatusUnavailable && isForNamedPeer) {
+        return AnswerKind::GroupDown;
+    }
     const bool asksForRest = head.headers.find(http::RetryAfterHeader) != nullptr;
-    const bool hasFreeSlots = !asksForRest && hasCurrentLoad && endpoint.load.running + endpoint.load.waiting < endpoint.record.slots;
-    return head.status == StatusUnavailable && (isForNamedPeer || hasFreeSlots) ? AnswerKind::GroupDown : AnswerKind::Refused;
+    const bool hasFreeSlots = from.hasCurrentLoad && endpoint.load.running + endpoint.load.waiting < endpoint.record.slots;
+    if (head.status != StatusUnavailable || asksForRest || !hasFreeSlots) {
+        return AnswerKind::Refused;
+    }
+    // An endpoint that refuses with free capacity can't run anything at the moment: it alone if others serve, else e.g. because its group is forming.
+    return from.isServiceServing ? AnswerKind::Declined : AnswerKind::GroupDown;
 }
 
 } // namespace
 
-AnswerKind classifyAnswer(const http::MessageHead &head, const Protocol &protocol, const routing::Endpoint &endpoint, bool hasCurrentLoad)
+AnswerKind classifyAnswer(const http::MessageHead &head, const Protocol &protocol, const AnsweringEndpoint &from)
 {
     if (head.status == StatusMisdirected || head.headers.find(protocol.notRun) != nullptr) {
-        return classifyRejection(head, protocol, endpoint, hasCurrentLoad);
+        return classifyRejection(head, protocol, from);
     }
     const bool isSuccess = head.status >= StatusOk && head.status < FirstRedirect;
     if (isSuccess && head.headers.find(protocol.answerProof) == nullptr) {
--- a/libs/forward/src/answerkind.h
+++ b/libs/forward/src/answerkind.h
@@ -14,22 +14,26 @@
 enum class AnswerKind : std::uint8_t {
     AddressTaken, ///< Not run: another endpoint has the address.
     GroupDown, ///< Not run: the endpoint's group can't run anything at the moment.
+    Declined, ///< Not run, although the endpoint has free slots and others of its service serve.
     Refused, ///< Not run, e.g. because the endpoint is full.
     Unproved, ///< A success without proof, which must not be relayed.
     Failure, ///< It may have run, and failed.
     Success,
 };
 
-/**
- * @param endpoint that answered; its load is up to date.
- * @param hasCurrentLoad the answer reported the endpoint's load.
- */
-AnswerKind classifyAnswer(const http::MessageHead &head, const Protocol &protocol, const routing::Endpoint &endpoint, bool hasCurrentLoad);
+/** The endpoint that answered, and what is known of its service. */
+struct AnsweringEndpoint {
+    const routing::Endpoint &endpoint; ///< Its load is up to date.
+    bool hasCurrentLoad = false; ///< The answer reported the endpoint's load.
+    bool isServiceServing = false; ///< Other endpoints of the service began successful answers just before.
+};
+
+AnswerKind classifyAnswer(const http::MessageHead &head, const Protocol &protocol, const AnsweringEndpoint &from);
 
 /** @return true if the answer proves that the request did not run and never will. */
 constexpr bool isNotRun(AnswerKind kind)
 {
-    return kind == AnswerKind::AddressTaken || kind == AnswerKind::GroupDown || kind == AnswerKind::Refused;
+    return kind == AnswerKind::AddressTaken || kind == AnswerKind::GroupDown || kind == AnswerKind::Declined || kind == AnswerKind::Refused;
 }
 
 } // namespace magnolia::forward
--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -185,8 +185,7 @@
 
 bool ForwardedRequest::hasGroupRecovered() const
 {
-    const auto served = context_.lastGoodAnswerAt.find(service_);
-    return served != context_.lastGoodAnswerAt.end() && served->second > groupRefusedAt_;
+    return context_.hasServed(service_, groupRefusedAt_);
 }
 
 void ForwardedRequest::beginWaiting(BootTime until)
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -22,6 +22,10 @@
 // An answer that is not a stream is buffered in memory until it is complete. Larger ones are treated as an error.
 constexpr std::size_t MaxAnswerBytes = 16U << 20U;
 
+// A service that began no successful answer for this long may not be running as a whole. Requests at a group that lost a rank stall for longer than that before
+// they are rejected.
+constexpr Duration ServingPeriod{1000};
+
 constexpr std::string_view EventStream = "text/event-stream";
 
 /** @return what the end of an attempt without a valid answer indicates about the endpoint. */
@@ -37,6 +41,19 @@
     }
 }
 
+/** @return what a rejection indicates about the endpoint. */
+AttemptOutcome outcomeOf(AnswerKind rejection)
+{
+    switch (rejection) {
+    case AnswerKind::AddressTaken:
+        return AttemptOutcome::Unreachable;
+    case AnswerKind::Declined:
+        return AttemptOutcome::Failed;
+    default:
+        return AttemptOutcome::Refused;
+    }
+}
+
 bool isSuccess(int status)
 {
     return status >= StatusOk && status < FirstRedirect;
@@ -201,7 +218,10 @@
 void ForwardedRequest::handleWholeAnswer()
 {
     const bool hasCurrentLoad = endpoint_->reportedAt == lastReceivedAt_;
-    const AnswerKind kind = classifyAnswer(incoming_.head, context_.options.protocol, *endpoint_, hasCurrentLoad);
+    const AnswerKind kind = classifyAnswer(
+        incoming_.head,
+        context_.options.protocol,
+        {.endpoint = *endpoint_, .hasCurrentLoad = hasCurrentLoad, .isServiceServing = context_.hasServed(service_, lastReceivedAt_ - ServingPeriod)});
     if (isNotRun(kind)) {
         handleRejectedAttempt(kind);
         return;
@@ -239,7 +259,7 @@
 {
     const std::string atFault(incoming_.head.headers.value(context_.options.protocol.endpointAtFault));
     const BootTime now = BootClock::now();
-    endAttempt(kind == AnswerKind::AddressTaken ? AttemptOutcome::Unreachable : AttemptOutcome::Refused);
+    endAttempt(outcomeOf(kind));
     if (kind == AnswerKind::AddressTaken) {
         context_.endpoints.onAddressTaken(*endpoint_, now);
     } else if (kind == AnswerKind::GroupDown) {
--- a/libs/forward/tests/answerkindtest.cpp
+++ b/libs/forward/tests/answerkindtest.cpp
@@ -27,11 +27,12 @@
         if (header == protocol.endpointAtFault) {
             head.headers.add(protocol.notRun, "1");
         }
-        return classifyAnswer(head, protocol, endpoint, hasCurrentLoad);
+        return classifyAnswer(head, protocol, {.endpoint = endpoint, .hasCurrentLoad = hasCurrentLoad, .isServiceServing = isServiceServing});
     }
 
     Protocol protocol;
     routing::Endpoint endpoint;
+    bool isServiceServing = false;
 };
 
 } // namespace
@@ -72,6 +73,18 @@
     BOOST_TEST((kindOf(503, protocol.notRun, "1", false) == AnswerKind::Refused));
 }
 
+// Guards against one endpoint that turns requests away being taken for its whole group, so that requests wait although others serve.
+BOOST_AUTO_TEST_CASE(rejection_withFreeSlotsWhileOthersServe_isForTheEndpointAlone)
+{
+    isServiceServing = true;
+    endpoint.load = {.running = 1, .waiting = 0, .slots = 4};
+    BOOST_TEST((kindOf(503, protocol.notRun) == AnswerKind::Declined));
+    BOOST_TEST(isNotRun(AnswerKind::Declined));
+    BOOST_TEST((kindOf(503, protocol.endpointAtFault, "10.0.0.9:80") == AnswerKind::GroupDown));
+    endpoint.load = {.running = 4, .waiting = 0, .slots = 4};
+    BOOST_TEST((kindOf(503, protocol.notRun) == AnswerKind::Refused));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::forward
--- a/libs/forward/tests/endpointresttest.cpp
+++ b/libs/forward/tests/endpointresttest.cpp
@@ -191,4 +191,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(DecliningEndpointTest, StatementFixture)
+
+// Guards against requests that wait for a group because one endpoint with free slots turns all away, without asking for rest, while the others serve.
+BOOST_AUTO_TEST_CASE(endpointDeclines_othersServe_requestsGoToThemAtOnce)
+{
+    Endpoint &declining = addStatingEndpoint();
+    addStatingEndpoint();
+    addStatingEndpoint();
+    runLoad(Duration(200));
+    declining.status = 503;
+    declining.headers = "X-Load: 0,0,4\r\n";
+    runUntilArrival(declining);
+    const std::size_t before = declining.arrivals.size();
+    runLoad(Duration(1500));
+    runFor(Duration(50));
+    BOOST_TEST(declining.arrivals.size() <= before + 3); // The time for which it is avoided doubles from a quarter of a second.
+    BOOST_TEST(answeredCallers("HTTP/1.1 200") == callers.size());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace magnolia::forward
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -84,7 +84,7 @@
 enum class AttemptOutcome : std::uint8_t {
     Answered, ///< The endpoint is healthy.
     Refused, ///< Rejected without execution, because the endpoint is full or its group is down; does not count as a failure.
-    Failed, ///< An error of the endpoint, a truncated or malformed answer, or no answer.
+    Failed, ///< An error of the endpoint, a truncated or malformed answer, or no answer; also a rejection despite free slots while other endpoints serve.
     Hung, ///< Nothing came from the endpoint, while other requests of the service that were dispatched later progressed.
     Unreachable, ///< No connection could be established.
 };
