routing: what an endpoint states outlives its list entry, also for attempts in progress

An attempt that was in progress then held the removed object, and a rest or leaving in its answer was lost; the rate limit that the endpoint had stated was lost with the object as well, at every entry at the same moment.

EndpointStatements is shared by all objects of one run of an endpoint; a later run gets new ones.

Tests, on the code before: answerIsOnItsWay_listEntryLapsesAndReturns_itsRestIsKept failed, endpointStatesALimit_itsListEntryLapsesAndReturns_limitIsObserved failed (over 11 requests in 3 s at a limit of one a second). Both pass now, with the other tests of routing and forward.

--- a/libs/forward/src/endpointattempt.cpp
+++ b/libs/forward/src/endpointattempt.cpp
@@ -89,7 +89,7 @@
 void EndpointAttempt::onConnected()
 {
     const auto self = shared_from_this();
-    if (options_.endpoint->availability.refusesRequests(BootClock::now())) {
+    if (options_.endpoint->stated->availability.refusesRequests(BootClock::now())) {
         finish(AttemptEnd::Withdrawn);
         return;
     }
--- a/libs/forward/src/livenessmonitor.cpp
+++ b/libs/forward/src/livenessmonitor.cpp
@@ -121,13 +121,13 @@
     if (endpoint.isSuspected) {
         return false; // A check is running.
     }
-    if (endpoint.availability.isResting(now)) {
+    if (endpoint.stated->availability.isResting(now)) {
         return false;
     }
     if (endpoint.isUnresponsive) {
         return now - monitored.checkedAt >= RecheckInterval;
     }
-    if (endpoint.limit.isLimited()) {
+    if (endpoint.stated->limit.isLimited()) {
         return false; // A check would count against the endpoint's stated rate limit.
     }
     const Duration patience = options_.endpoints.hasFallenBehind(endpoint) ? SilenceWhilePeersAnswer : SilenceOfWholeService;
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -70,7 +70,7 @@
         slots_->limit().onLoadReport(*load, lastReceivedAt_);
     }
     if (!isTurnedAway(head.status) && head.status != StatusMisdirected) {
-        endpoint_->availability.onAnswer(sentAt_);
+        endpoint_->stated->availability.onAnswer(sentAt_);
     }
     incoming_.head = head;
     releaseUnstarted();
--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -145,10 +145,10 @@
 /** Counts a dispatch that contradicts what the endpoint has stated. */
 void ForwardedRequest::countUnwantedDispatch(const routing::Endpoint &endpoint)
 {
-    if (endpoint.availability.isResting(BootClock::now())) {
+    if (endpoint.stated->availability.isResting(BootClock::now())) {
         context_.metrics.sentInRest.add();
     }
-    if (endpoint.availability.isLeaving()) {
+    if (endpoint.stated->availability.isLeaving()) {
         context_.metrics.sentToLeaving.add();
     }
 }
--- a/libs/forward/src/statementreader.cpp
+++ b/libs/forward/src/statementreader.cpp
@@ -67,7 +67,7 @@
     }
     options_.metrics.rests.add();
     options_.log.logRest(endpoint.record.id, *rest, answer.status);
-    endpoint.availability.onRestStated(*rest, now, options_.random);
+    endpoint.stated->availability.onRestStated(*rest, now, options_.random);
 }
 
 void StatementReader::readLeaving(routing::Endpoint &endpoint, const Answer &answer)
@@ -80,7 +80,7 @@
         options_.log.logUnreadable("Leaving mark", endpoint.record.id, *stated);
         return;
     }
-    if (endpoint.availability.onLeavingStated()) {
+    if (endpoint.stated->availability.onLeavingStated()) {
         options_.log.logLeaving(endpoint.record.id);
         options_.connections.closeAll(endpoint.record.id); // They lead to a process that is about to end.
     }
--- a/libs/forward/tests/endpointattempttest.cpp
+++ b/libs/forward/tests/endpointattempttest.cpp
@@ -81,7 +81,7 @@
 BOOST_AUTO_TEST_CASE(connectionIsSlow_endpointAsksForRestMeanwhile_requestIsNotSent)
 {
     startAttempt();
-    endpoint->availability.onRestStated(Duration(60000), BootClock::now(), random);
+    endpoint->stated->availability.onRestStated(Duration(60000), BootClock::now(), random);
     receivedOnNext();
     BOOST_TEST(runUntil([&] { return end.has_value(); }));
     BOOST_TEST((end == AttemptEnd::Withdrawn));
--- a/libs/forward/tests/endpointresttest.cpp
+++ b/libs/forward/tests/endpointresttest.cpp
@@ -131,6 +131,24 @@
     BOOST_TEST(resting.arrivedSince(restsSince + AdoptionTime) <= MaxRequestsInRest);
 }
 
+// Guards against a rest that is lost because the list entry lapsed and returned while the answer that asked for it was on its way.
+BOOST_AUTO_TEST_CASE(answerIsOnItsWay_listEntryLapsesAndReturns_itsRestIsKept)
+{
+    Endpoint &resting = addStatingEndpoint();
+    resting.peer = &addEndpoint([&resting](int number) { return number == 1 ? RawPeer::Answer{} : scriptedAnswer(resting); });
+    task->removeEndpoint("e1");
+    addCaller(request("repeatable"));
+    runFor(Duration(50));
+    task->removeEndpoint("e2");
+    const routing::EndpointRecord returned{.id = "e2", .service = "s", .address = resting.peer->address(), .dataCentre = "north", .slots = 4};
+    task->putEndpoint(returned);
+    startRest(resting);
+    resting.peer->sendOnAll(rejectionAnswer(503, "r1", RestHeaders));
+    runFor(Duration(50));
+    runLoad(Duration(1500));
+    BOOST_TEST(resting.arrivals.empty());
+}
+
 // Guards against a restarted endpoint that is left unused because its earlier run had asked for a long rest.
 BOOST_AUTO_TEST_CASE(endpointAsksForRest_itRunsAnewUnderItsId_itIsUsed)
 {
--- a/libs/forward/tests/statedlimittest.cpp
+++ b/libs/forward/tests/statedlimittest.cpp
@@ -119,6 +119,22 @@
     BOOST_TEST(limited.arrivedSince(limitKnownAt) <= static_cast<int>(MaxArrivalsInWindow));
 }
 
+// Guards against a limit that is forgotten each time that the endpoint's list entry lapses and returns.
+BOOST_AUTO_TEST_CASE(endpointStatesALimit_itsListEntryLapsesAndReturns_limitIsObserved)
+{
+    Endpoint &limited = addStatingEndpoint();
+    limited.headers = "X-Rate-Limit: 1\r\n";
+    addStatingEndpoint();
+    runLoad(LimitAdoptionTime);
+    const MonoTime limitKnownAt = MonoClock::now();
+    for (int lapse = 0; lapse < 30; ++lapse) {
+        task->removeEndpoint("e1");
+        task->putEndpoint(record(1));
+        runLoad(Duration(100));
+    }
+    BOOST_TEST(limited.arrivedSince(limitKnownAt) <= static_cast<int>(MaxArrivalsInWindow));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::forward
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -42,6 +42,12 @@
     std::uint32_t slots = 0;
 };
 
+/** What one run of an endpoint has stated to this entry about the requests that it accepts. */
+struct EndpointStatements {
+    RateLimitShare limit;
+    EndpointAvailability availability;
+};
+
 /** An endpoint and what this entry knows about it. */
 struct Endpoint {
     EndpointRecord record;
@@ -49,8 +55,7 @@
     std::uint32_t inFlight = 0; ///< Attempts of this entry in progress there.
     std::uint32_t unstartedStreams = 0; ///< Streams among inFlight that had no first event yet.
     std::uint32_t suspectRequests = 0; ///< Requests among inFlight for which there are crash reports.
-    RateLimitShare limit;
-    EndpointAvailability availability;
+    std::shared_ptr<EndpointStatements> stated = std::make_shared<EndpointStatements>(); ///< Outlives its list entry: attempts in progress may still add to it.
     LoadReport load;
     std::uint32_t inFlightAtReport = 0; ///< Value of inFlight when the load report was received.
     BootTime reportedAt;
@@ -68,7 +73,7 @@
 
     bool acceptsRequests() const
     {
-        return !record.isLeaving && !availability.isLeaving() && !isRemoved;
+        return !record.isLeaving && !stated->availability.isLeaving() && !isRemoved;
     }
 
     /** @return since when it has been silent while having work; meaningful only with a request in flight there. */
@@ -240,15 +245,15 @@
         BootTime unprovenAvoidUntil; ///< Until then endpoints that have not answered are avoided; the epoch if they are not.
     };
 
-    /** What an endpoint stated whose entry is missing from the list. */
+    /** A run of an endpoint whose entry is missing from the list. */
     struct FormerEndpoint {
         std::string id;
         std::uint64_t incarnation = 0;
-        EndpointAvailability availability;
+        std::shared_ptr<EndpointStatements> stated;
     };
 
     void rememberStatements(const Endpoint &endpoint);
-    EndpointAvailability takeStatements(const EndpointRecord &record);
+    std::shared_ptr<EndpointStatements> takeStatements(const EndpointRecord &record);
     ServiceActivity &activityOf(std::string_view service);
     bool isAtUnstartedLimit(const Endpoint &endpoint) const;
     AvoidanceLevel avoidanceOf(const Endpoint &endpoint, const ChoiceRequest &request, BootTime now) const;
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -98,7 +98,7 @@
     remove(record.id);
     auto endpoint = std::make_shared<Endpoint>();
     endpoint->record = record;
-    endpoint->availability = takeStatements(record);
+    endpoint->stated = takeStatements(record);
     byId_.emplace(record.id, endpoint);
     byService_[record.service].push_back(endpoint);
     addToAddress(endpoint);
@@ -152,28 +152,28 @@
 
 void EndpointTable::rememberStatements(const Endpoint &endpoint)
 {
-    if (endpoint.availability.isUnrestricted()) {
-        return;
-    }
     if (formerEndpoints_.size() >= MaxFormerEndpoints) {
         formerEndpoints_.pop_front();
     }
-    formerEndpoints_.push_back({.id = endpoint.record.id, .incarnation = endpoint.record.incarnation, .availability = endpoint.availability});
+    formerEndpoints_.push_back({.id = endpoint.record.id, .incarnation = endpoint.record.incarnation, .stated = endpoint.stated});
 }
 
 /** @return what the endpoint stated before its entry was removed, as far as it concerns this run of it. */
-EndpointAvailability EndpointTable::takeStatements(const EndpointRecord &record)
+std::shared_ptr<EndpointStatements> EndpointTable::takeStatements(const EndpointRecord &record)
 {
-    const auto former = std::find_if(formerEndpoints_.begin(), formerEndpoints_.end(), [&](const FormerEndpoint &one) { return one.id == record.id; });
-    if (former == formerEndpoints_.end()) {
-        return {};
+    const auto found = std::find_if(formerEndpoints_.begin(), formerEndpoints_.end(), [&](const FormerEndpoint &one) { return one.id == record.id; });
+    if (found == formerEndpoints_.end()) {
+        return std::make_shared<EndpointStatements>();
     }
-    EndpointAvailability availability = former->availability;
-    if (former->incarnation != 0 && former->incarnation < record.incarnation) {
-        availability.onNewRun();
+    const FormerEndpoint former = std::move(*found);
+    formerEndpoints_.erase(found);
+    if (former.incarnation == 0 || former.incarnation >= record.incarnation) {
+        return former.stated;
     }
-    formerEndpoints_.erase(former);
-    return availability;
+    auto stated = std::make_shared<EndpointStatements>();
+    stated->availability = former.stated->availability;
+    stated->availability.onNewRun();
+    return stated;
 }
 
 EndpointPointer EndpointTable::find(std::string_view id) const
@@ -192,7 +192,7 @@
 {
     std::size_t slots = 0;
     for (const EndpointPointer &endpoint : endpointsOf(service)) {
-        const bool isUsable = endpoint->acceptsRequests() && !endpoint->isReplaced && !endpoint->availability.isResting(now);
+        const bool isUsable = endpoint->acceptsRequests() && !endpoint->isReplaced && !endpoint->stated->availability.isResting(now);
         slots += isUsable ? endpoint->record.slots : 0;
     }
     return slots;
@@ -200,14 +200,14 @@
 
 bool EndpointTable::mayDispatch(Endpoint &endpoint, BootTime now, Random &random) const
 {
-    return endpoint.acceptsRequests() && endpoint.availability.mayDispatch(now) && endpoint.limit.canSend(instances_, now, random);
+    return endpoint.acceptsRequests() && endpoint.stated->availability.mayDispatch(now) && endpoint.stated->limit.canSend(instances_, now, random);
 }
 
 std::optional<BootTime> EndpointTable::nextRestEnd(const ChoiceRequest &request, BootTime now) const
 {
     std::optional<BootTime> earliest;
     for (const EndpointPointer &endpoint : endpointsOf(request.service)) {
-        const BootTime at = endpoint->availability.nextDispatchAt();
+        const BootTime at = endpoint->stated->availability.nextDispatchAt();
         const bool isAwaited = endpoint->acceptsRequests() && !endpoint->isReplaced && at > now && !isExcluded(*endpoint, request.excluded);
         if (isAwaited && (!earliest || at < *earliest)) {
             earliest = at;
@@ -324,8 +324,8 @@
 
 void EndpointTable::onDispatch(Endpoint &endpoint, BootTime now, Random &random)
 {
-    endpoint.limit.consume(instances_, now, random);
-    endpoint.availability.onDispatch(now);
+    endpoint.stated->limit.consume(instances_, now, random);
+    endpoint.stated->availability.onDispatch(now);
     if (endpoint.groupAvoidUntil != BootTime()) {
         setGroupAvoidUntil(endpoint, now + GroupRetryInterval);
     }
@@ -374,7 +374,7 @@
 
 bool EndpointTable::updateRateLimit(Endpoint &endpoint, std::optional<double> perSecond, BootTime now, Random &random) const
 {
-    return perSecond ? endpoint.limit.update(*perSecond, instances_, now, random) : endpoint.limit.clear();
+    return perSecond ? endpoint.stated->limit.update(*perSecond, instances_, now, random) : endpoint.stated->limit.clear();
 }
 
 bool EndpointTable::canAdmitStream(std::string_view service, BootTime now, Random &random) const
@@ -383,7 +383,7 @@
     bool hasSaturated = false;
     bool hasFreeAvoided = false;
     for (const EndpointPointer &endpoint : endpointsOf(service)) {
-        if (!endpoint->acceptsRequests() || !endpoint->availability.mayDispatch(now)) {
+        if (!endpoint->acceptsRequests() || !endpoint->stated->availability.mayDispatch(now)) {
             continue;
         }
         hasAccepting = true;
