--- a/libs/engine/include/engine/engineclient.h
+++ b/libs/engine/include/engine/engineclient.h
@@ -19,7 +19,7 @@
 namespace magnolia::engine
 {
 
-/** How a call to an endpoint ended whose answer came whole. */
+/** Result of a call to an endpoint whose answer was complete. */
 struct Completion {
     int status = 0;
     std::string contentType{};
@@ -29,9 +29,9 @@
 /**
  * The only path to one endpoint: a model engine or a plain service.
  *
- * A model stream that falls silent while the endpoint answers on a fresh connection is taken up again on a new connection
- * after its last chunk; nothing else is ever sent twice. Lives on one event loop: all calls and callbacks are on its
- * thread. Destroying the client gives its calls up without calling back.
+ * A model stream that falls silent while the endpoint answers on a new connection is resumed there
+ * after its last chunk; no other request is ever sent twice. Lives on one event loop: all calls and callbacks are on its
+ * thread. Destroying the client cancels its calls without callbacks.
  *
  * @code
  * EngineClient engine(loop, {.address = "127.0.0.1:9100"});
@@ -43,25 +43,25 @@
 public:
     struct Options {
         std::string address{}; ///< "IP:PORT"
-        Duration silenceTimeout{3000}; ///< A stream with nothing for so long is checked over a fresh connection.
-        Duration probeTimeout{1000}; ///< Longest wait for GET /health.
-        Duration controlTimeout{5000}; ///< Longest wait for state and orders.
+        Duration silenceTimeout{3000}; ///< A stream without data for this long triggers a health check on a new connection.
+        Duration probeTimeout{1000}; ///< Timeout of GET /health.
+        Duration controlTimeout{5000}; ///< Timeout of state requests and orders.
         std::size_t maxChunkBytes = 1U << 20U;
         std::size_t maxBodyBytes = 16U << 20U;
         std::size_t maxConnections = 256;
     };
 
-    /** A call of a model; its body is the caller's JSON. */
+    /** A call of a model; the body is the JSON of the caller. */
     struct ModelRequest {
         std::string path{};
         http::Headers headers{};
         std::string body{};
-        std::uint32_t priority = 0; ///< 0 paying, 1 trial; lower goes first.
-        std::uint32_t resumeAfter = 0; ///< Chunks that the caller has; the first one given has this index.
+        std::uint32_t priority = 0; ///< 0: paying, 1: trial; lower values go first.
+        std::uint32_t resumeAfter = 0; ///< Number of chunks that the caller already has; also the index of the first one to be passed on.
         Duration timeout{60000};
     };
 
-    /** A call of a plain service; sent once whatever happens. */
+    /** A call of a plain service; never repeated. */
     struct PlainRequest {
         std::string method{};
         std::string path{};
@@ -75,7 +75,7 @@
         std::function<void(Result<Completion>)> onEnd{}; ///< Exactly once, unless cancelled.
     };
 
-    /** Names a call in progress; never 0. */
+    /** Identifies a call in progress; never 0. */
     using CallId = std::uint64_t;
 
     EngineClient(event_base *loop, Options options);
@@ -86,25 +86,25 @@
     CallId runModel(ModelRequest request, Callbacks callbacks);
     CallId runPlain(PlainRequest request, Callbacks callbacks);
 
-    /** Gives a call up; the endpoint sees a hang-up. No callback follows. */
+    /** Cancels a call and closes its connection. No callback follows. */
     void cancel(CallId call);
 
     void fetchState(std::function<void(Result<EngineState>)> done);
 
-    /** A refusal has StaleFence (old fencing number), RateLimited (weight store, with retryAfter) or NotFound. */
+    /** Sends an order. A rejection has StaleFence (outdated fencing number), RateLimited (weight store, with retryAfter) or NotFound. */
     void order(const EngineOrder &order, std::uint64_t fence, std::function<void(Result<void>)> done);
 
-    /** Reads the rank's state back, over a connection that only these reads use: answers come in the order of the calls. */
+    /** Reads the state of the rank, on a connection of its own: answers arrive in the order of the calls. */
     void fetchExperts(std::function<void(Result<ExpertStatus>)> done);
 
     /**
-     * A refusal has StaleFence, RateLimited (weight store, with retryAfter), Conflict (the engine's state forbids it) or
-     * NotFound (the engine is in no group). Success tells that the order was taken; what became of it is read back.
-     * An order that cannot be encoded is answered BadInput from within the call.
+     * A rejection has StaleFence, RateLimited (weight store, with retryAfter), Conflict (the engine's state forbids it) or
+     * NotFound (the engine is in no group). Success means that the order was accepted; its effect is read back.
+     * An order that can't be encoded fails with BadInput within the call.
      */
     void orderExperts(const experts::EngineOrder &order, std::uint64_t fence, std::function<void(Result<void>)> done);
 
-    /** Asks GET /health over a connection that was never used before. */
+    /** Sends GET /health on a new connection. */
     void probe(std::function<void(bool alive)> done);
 
 private:
--- a/libs/engine/include/engine/enginestate.h
+++ b/libs/engine/include/engine/enginestate.h
@@ -11,7 +11,7 @@
 namespace magnolia::engine
 {
 
-/** An adapter that an engine has. */
+/** An adapter that an engine has loaded. */
 struct AdapterState {
     std::string name{};
     std::string version{};
@@ -19,7 +19,7 @@
     bool operator==(const AdapterState &) const = default;
 };
 
-/** A model that an engine has or is loading. */
+/** A model that an engine has loaded or is loading. */
 struct ModelState {
     std::string name{};
     std::string version{};
@@ -29,16 +29,16 @@
     bool operator==(const ModelState &) const = default;
 };
 
-/** What an engine says of itself; see docs/INTERFACES.md, GET /control/state. */
+/** State of an engine as reported by itself; see docs/INTERFACES.md, GET /control/state. */
 struct EngineState {
     std::string boot{}; ///< Changes with each start of the engine.
     std::string role{};
-    std::uint64_t fence = 0; ///< Highest fencing number that it has seen; 0 if it ignores them.
+    std::uint64_t fence = 0; ///< Highest fencing number that the engine has received; 0 if it ignores them.
     std::vector<ModelState> models{};
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
 
-    /** @return the model of that name, or nullptr. */
+    /** @return the model with this name; null if there is none. */
     const ModelState *model(std::string_view name) const;
 };
 
--- a/libs/engine/include/engine/sseparser.h
+++ b/libs/engine/include/engine/sseparser.h
@@ -10,7 +10,7 @@
 {
 
 /**
- * Cuts a byte stream of server-sent events into the data of each event.
+ * Splits a byte stream of server-sent events into the data of each event.
  *
  * Takes bytes in pieces of any size. Lines end in LF or CRLF; fields other than "data" and comments are skipped; several
  * data lines of one event are joined by LF. A value type without threads of its own.
@@ -25,18 +25,18 @@
 public:
     using OnEvent = std::function<void(std::string_view data)>;
 
-    /** @param maxEventBytes longest event taken, in bytes. */
+    /** @param maxEventBytes maximum size of an event, in bytes. */
     explicit SseParser(std::size_t maxEventBytes);
 
-    /** @return false once an event has passed the limit; the stream is then of no more use. */
+    /** @return false once an event exceeded the limit; the stream can't be parsed any further then. */
     bool feed(std::string_view bytes, const OnEvent &onEvent);
 
 private:
     void takeLine(std::string_view line, const OnEvent &onEvent);
 
     std::size_t maxEventBytes_;
-    std::string line_; ///< The line that is not complete yet.
-    std::string data_; ///< Data lines of the event so far.
+    std::string line_; ///< The current line, as far as it was received.
+    std::string data_; ///< Data lines of the current event.
     bool hasData_ = false;
 };
 
--- a/libs/engine/src/engineclient.cpp
+++ b/libs/engine/src/engineclient.cpp
@@ -25,7 +25,7 @@
 constexpr int StatusTooManyRequests = 429;
 constexpr int FirstServerError = 500;
 
-/** A stream is given up after so many health checks in a row failed. */
+/** Consecutive failed health checks after which a stream is abandoned. */
 constexpr int MaxFailedProbes = 2;
 
 std::string headerOf(const http::Headers &headers, const std::string &name)
@@ -34,7 +34,7 @@
     return found == headers.end() ? std::string() : found->second;
 }
 
-/** Sets the fields that the agent decides in the caller's JSON. */
+/** Sets the fields of the caller's JSON that the agent decides. */
 Result<std::string> engineBody(std::string_view callerBody, std::uint32_t priority, std::uint32_t resumeAfter)
 {
     Json json = Json::parse(callerBody, nullptr, false);
@@ -49,8 +49,8 @@
 
 /** What an answer of 409 means. */
 enum class ConflictMeaning : std::uint8_t {
-    StaleFence, ///< The order's fencing number is old.
-    ToldByBody, ///< That, if the body names the highest one; otherwise the engine's state forbids the order.
+    StaleFence, ///< The order's fencing number is outdated.
+    ToldByBody, ///< As StaleFence if the body contains the highest one; otherwise the engine's state forbids the order.
 };
 
 Result<void> outcomeOfOrder(const http::Response &response, ConflictMeaning conflict)
@@ -108,15 +108,15 @@
         std::uint32_t nextChunk = 0;
         int status = 0;
         std::string contentType;
-        // Of model streams only:
+        // Used by model streams only:
         ModelRequest request;
         MonoTime deadline;
         SseParser parser{0};
         std::string errorBody; ///< Body of an answer that is no stream.
-        bool done = false; ///< The stream's end mark came.
-        Duration silence{0}; ///< Present limit of a silent stream.
+        bool done = false; ///< The end mark of the stream was received.
+        Duration silence{0}; ///< Current silence timeout of the stream.
         int failedProbes = 0;
-        bool resumed = false; ///< An earlier connection carried it, so that it has begun whatever becomes of this one.
+        bool resumed = false; ///< It was started on an earlier connection, so it may have run even if this connection fails.
         std::unique_ptr<http::Timer> silenceTimer;
     };
 
@@ -133,11 +133,11 @@
 
     event_base *loop_;
     Options options_;
-    // Three pools: control and probes never wait behind calls, and a probe never takes a connection of a call.
+    // Separate pools, so that control requests and probes never queue behind calls, and a probe never reuses a connection of a call.
     http::HttpClient calls_;
     http::HttpClient probes_;
     http::HttpClient control_;
-    // Its one connection keeps reads in order: a vote must not be read from a state older than one that was acted on.
+    // A single connection keeps the reads in order: a vote must not be based on a state older than one that was already acted on.
     http::HttpClient expertReads_;
     std::unordered_map<CallId, std::shared_ptr<Call>> open_;
     CallId lastCall_ = 0;
@@ -170,7 +170,7 @@
     call.errorBody.clear();
     auto body = engineBody(call.request.body, call.request.priority, call.nextChunk);
     if (!body) {
-        // Not from within runModel: the caller doesn't know the call's id yet.
+        // The callback must not run within runModel(), since the caller does not have the id of the call yet.
         call.silenceTimer = std::make_unique<http::Timer>(loop_, [this, id, failure = body.error()] { finish(id, tl::unexpected(failure)); });
         call.silenceTimer->start(Duration(0));
         return;
@@ -202,7 +202,7 @@
     if (found == open_.end()) {
         return;
     }
-    // Keeps the call alive, since a chunk's receiver may cancel it.
+    // Keeps the call alive, since its callback may cancel it.
     const std::shared_ptr<Call> call = found->second;
     call->silenceTimer->start(call->silence);
     call->failedProbes = 0;
@@ -229,7 +229,7 @@
         return;
     }
     if (call->done && find(id) != nullptr) {
-        // The end mark makes the answer whole; the connection's own end adds nothing.
+        // The answer is complete with the end mark, however the connection ends afterwards.
         calls_.cancel(call->httpCall);
         finish(id, Completion{.status = call->status, .contentType = call->contentType, .chunks = call->nextChunk});
     }
@@ -251,7 +251,7 @@
         return;
     }
     if (call->status == StatusOk) {
-        // Without the end mark nobody can tell a whole answer from one that was cut.
+        // Without the end mark, a complete answer can't be told from a truncated one.
         finish(id, fail(ErrorCode::ConnectionLost, Verdict::MayHaveRun, "the endpoint's stream ended before its end mark"));
         return;
     }
@@ -260,8 +260,8 @@
         return;
     }
     if (call->status == StatusNotFound) {
-        // An engine that was restarted empty answers so until its agent has seen it and loads the models again. Given to
-        // the caller as the answer, a model that others serve would not exist for him.
+        // A restarted engine answers 404 until its agent has loaded the models again. Relayed to the caller, that would mean that
+        // the model does not exist, although other engines serve it.
         const Verdict verdict = call->resumed ? Verdict::MayHaveRun : Verdict::NotRun;
         finish(id, fail(ErrorCode::Unavailable, verdict, "the engine does not serve the model now"));
         return;
@@ -278,8 +278,8 @@
     if (call == nullptr) {
         return;
     }
-    // Something between the two ends may have lost track of the connection, or the engine may be slow, or it may be gone.
-    // An answer over a fresh connection tells the last of these from the others.
+    // The connection may be broken without a reset, the engine may be slow, or it may have crashed. A health check on a new
+    // connection tells the last case from the others.
     probe([this, id, chunks = call->nextChunk](bool alive) { onProbed(id, chunks, alive); });
 }
 
@@ -290,8 +290,8 @@
         return;
     }
     if (alive) {
-        // The old connection is closed first, so that none of its chunks can come later. The limit doubles, so that an
-        // engine that is only slow gets to its next chunk and isn't asked anew for ever.
+        // The old connection is closed first, so that none of its chunks can arrive later. The timeout doubles, so that an
+        // engine that is merely slow reaches its next chunk before the next resumption.
         calls_.cancel(call->httpCall);
         calls_.closeIdle();
         constexpr int Growth = 2;
@@ -358,7 +358,7 @@
 void EngineClient::Impl::noteLostConnection(const Failure &failure)
 {
     if (failure.code == ErrorCode::ConnectionLost || failure.code == ErrorCode::DeadlineExceeded) {
-        // What made one connection go silent has often lost track of the idle ones too.
+        // The cause of one silent connection often affects the idle ones too.
         calls_.closeIdle();
     }
 }
--- a/libs/engine/src/expertorders.cpp
+++ b/libs/engine/src/expertorders.cpp
@@ -16,7 +16,7 @@
 using Json = nlohmann::json;
 using experts::EngineOrderKind;
 
-/** Throws if the member is missing or no whole number from 0 on: the library would turn -1 or 1.5 into another number. */
+/** Throws if the member is missing or is not a non-negative integer, since the JSON library would convert -1 or 1.5 silently. */
 std::uint64_t numberFrom(const Json &json, const char *member)
 {
     const Json &value = json.at(member);
@@ -51,7 +51,7 @@
     return status;
 }
 
-/** Votes are read from this state: one that contradicts itself must not become a yes or a no. */
+/** Votes are derived from this state, so a contradictory one must not count as either vote. */
 bool isConsistent(const Json &json, const experts::EngineState &state)
 {
     const bool isRising = std::adjacent_find(state.loaded.begin(), state.loaded.end(), std::greater_equal<>()) == state.loaded.end();
