forward: an endpoint declines by itself only if another one serves

Found while reading the change: the good answer of the last second could be the endpoint's own. The only endpoint of a service, or a whole service that stops, was then read as an endpoint that declines, and its callers were refused at once instead of waiting.

--- a/libs/forward/src/answerkind.cpp
+++ b/libs/forward/src/answerkind.cpp
@@ -28,7 +28,7 @@
         return AnswerKind::Refused;
     }
     // An endpoint that refuses with free capacity can't run anything at the moment: it alone if others serve, else e.g. because its group is forming.
-    return from.isServiceServing ? AnswerKind::Declined : AnswerKind::GroupDown;
+    return from.doOthersServe ? AnswerKind::Declined : AnswerKind::GroupDown;
 }
 
 } // namespace
--- a/libs/forward/src/answerkind.h
+++ b/libs/forward/src/answerkind.h
@@ -25,7 +25,7 @@
 struct AnsweringEndpoint {
     const routing::Endpoint &endpoint; ///< Its load is up to date.
     bool hasCurrentLoad = false; ///< The answer reported the endpoint's load.
-    bool isServiceServing = false; ///< Other endpoints of the service began successful answers just before.
+    bool doOthersServe = false; ///< Another endpoint of the service began a successful answer just before.
 };
 
 AnswerKind classifyAnswer(const http::MessageHead &head, const Protocol &protocol, const AnsweringEndpoint &from);
--- a/libs/forward/src/forwardcontext.h
+++ b/libs/forward/src/forwardcontext.h
@@ -75,13 +75,6 @@
         }
     }
 
-    /** Whether an endpoint of the service began a successful answer after that time. */
-    bool hasServed(std::string_view service, BootTime after) const
-    {
-        const auto served = lastGoodAnswerAt.find(service);
-        return served != lastGoodAnswerAt.end() && served->second > after;
-    }
-
     /** Calls notifyWaiters() on the loop's next turn; for use within a call of a waiter. */
     void scheduleNotification()
     {
--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -185,7 +185,8 @@
 
 bool ForwardedRequest::hasGroupRecovered() const
 {
-    return context_.hasServed(service_, groupRefusedAt_);
+    const auto served = context_.lastGoodAnswerAt.find(service_);
+    return served != context_.lastGoodAnswerAt.end() && served->second > groupRefusedAt_;
 }
 
 void ForwardedRequest::beginWaiting(BootTime until)
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -80,8 +80,8 @@
     bool retryElsewhere(std::string_view cause);
     void waitForProbe();
     bool endIfQuarantined();
-    bool endpointsRest(std::span<const std::string> excluded) const;
-    bool endForRest();
+    bool hasRestingEndpoint(std::span<const std::string> excluded) const;
+    bool waitForRestOrReject();
 
     /** Crashes had been reported for this request when the current attempt was dispatched. */
     bool hasCrashReports() const
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -22,8 +22,8 @@
 // An answer that is not a stream is buffered in memory until it is complete. Larger ones are treated as an error.
 constexpr std::size_t MaxAnswerBytes = 16U << 20U;
 
-// A service that began no successful answer for this long may not be running as a whole. Requests at a group that lost a rank stall for longer than that before
-// they are rejected.
+// If no other endpoint began a successful answer for this long, the whole service may not be running. Requests at a group that lost a rank stall for longer
+// than that before they are rejected.
 constexpr Duration ServingPeriod{1000};
 
 constexpr std::string_view EventStream = "text/event-stream";
@@ -76,6 +76,7 @@
     releaseUnstarted();
     context_.endpoints.onAnswerStarted(*endpoint_, sentAt_);
     if (isSuccess(head.status)) {
+        endpoint_->servedAt = lastReceivedAt_;
         context_.endpoints.onGroupAnswer(*endpoint_);
         context_.recordGoodAnswer(service_);
     }
@@ -218,10 +219,11 @@
 void ForwardedRequest::handleWholeAnswer()
 {
     const bool hasCurrentLoad = endpoint_->reportedAt == lastReceivedAt_;
-    const AnswerKind kind = classifyAnswer(
-        incoming_.head,
-        context_.options.protocol,
-        {.endpoint = *endpoint_, .hasCurrentLoad = hasCurrentLoad, .isServiceServing = context_.hasServed(service_, lastReceivedAt_ - ServingPeriod)});
+    const AnswerKind kind = classifyAnswer(incoming_.head,
+                                           context_.options.protocol,
+                                           {.endpoint = *endpoint_,
+                                            .hasCurrentLoad = hasCurrentLoad,
+                                            .doOthersServe = context_.endpoints.haveOthersServed(*endpoint_, lastReceivedAt_ - ServingPeriod)});
     if (isNotRun(kind)) {
         handleRejectedAttempt(kind);
         return;
@@ -270,7 +272,7 @@
         onGroupDown(atFault);
     } else if (mayWait && kind == AnswerKind::AddressTaken && attempts_.allowsAnother(route_->maxEndpoints)) {
         onAddressTaken();
-    } else if (mayWait && chooseEndpoint() == nullptr && endpointsRest(attempts_.triedBeforeLast())) {
+    } else if (mayWait && chooseEndpoint() == nullptr && hasRestingEndpoint(attempts_.triedBeforeLast())) {
         onAllResting();
     } else if (!retryElsewhere("not-run")) {
         endUnsuccessfully("endpoints refused", StatusBadGateway);
--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -55,7 +55,7 @@
         dispatch(endpoint);
         return;
     }
-    if (endpointsRest(attempts_.tried()) && endForRest()) {
+    if (hasRestingEndpoint(attempts_.tried()) && waitForRestOrReject()) {
         return;
     }
     if (attempts_.tried().empty() && waitForUpdate()) {
@@ -66,13 +66,13 @@
 }
 
 /** Whether a resting endpoint that is not excluded may be sent the request later. */
-bool ForwardedRequest::endpointsRest(std::span<const std::string> excluded) const
+bool ForwardedRequest::hasRestingEndpoint(std::span<const std::string> excluded) const
 {
     return context_.endpoints.nextRestEnd({.service = service_, .excluded = excluded}, BootClock::now()).has_value();
 }
 
 /** Waits for the end of a rest, or tells the caller when to return. @return false if the request can't be rejected as not run. */
-bool ForwardedRequest::endForRest()
+bool ForwardedRequest::waitForRestOrReject()
 {
     if (waitForRest()) {
         return true;
--- a/libs/forward/tests/answerkindtest.cpp
+++ b/libs/forward/tests/answerkindtest.cpp
@@ -27,12 +27,12 @@
         if (header == protocol.endpointAtFault) {
             head.headers.add(protocol.notRun, "1");
         }
-        return classifyAnswer(head, protocol, {.endpoint = endpoint, .hasCurrentLoad = hasCurrentLoad, .isServiceServing = isServiceServing});
+        return classifyAnswer(head, protocol, {.endpoint = endpoint, .hasCurrentLoad = hasCurrentLoad, .doOthersServe = doOthersServe});
     }
 
     Protocol protocol;
     routing::Endpoint endpoint;
-    bool isServiceServing = false;
+    bool doOthersServe = false;
 };
 
 } // namespace
@@ -76,7 +76,7 @@
 // Guards against one endpoint that turns requests away being taken for its whole group, so that requests wait although others serve.
 BOOST_AUTO_TEST_CASE(rejection_withFreeSlotsWhileOthersServe_isForTheEndpointAlone)
 {
-    isServiceServing = true;
+    doOthersServe = true;
     endpoint.load = {.running = 1, .waiting = 0, .slots = 4};
     BOOST_TEST((kindOf(503, protocol.notRun) == AnswerKind::Declined));
     BOOST_TEST(isNotRun(AnswerKind::Declined));
--- a/libs/forward/tests/endpointresttest.cpp
+++ b/libs/forward/tests/endpointresttest.cpp
@@ -228,6 +228,20 @@
     BOOST_TEST(answeredCallers("HTTP/1.1 200") == callers.size());
 }
 
+// Guards against the opposite: the only endpoint of a service that served just before is read as one that declines, and its callers are refused at once.
+BOOST_AUTO_TEST_CASE(onlyEndpointDeclines_itServedJustBefore_requestsWaitForIt)
+{
+    Endpoint &endpoint = addStatingEndpoint();
+    runLoad(Duration(100));
+    endpoint.status = 503;
+    endpoint.headers = "X-Load: 0,0,4\r\n";
+    runUntilArrival(endpoint);
+    endpoint.status = 200;
+    endpoint.headers.clear();
+    runFor(Duration(1200));
+    BOOST_TEST(answeredCallers("HTTP/1.1 200") == callers.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::forward
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -69,6 +69,7 @@
     bool isUnresponsive = false; ///< The liveness check failed; it is chosen only if there is no other.
     BootTime lastStartedSentAt; ///< Latest dispatch time among the requests whose answers have started.
     BootTime lastReceivedAt; ///< When data was last received from it.
+    BootTime servedAt; ///< When it last began a successful answer.
     BootTime busySince; ///< When it last went from no requests in flight to one.
 
     bool acceptsRequests() const
@@ -187,6 +188,9 @@
     /** The endpoint answered a request, so its group is running. @return true if it was avoided until now. */
     bool onGroupAnswer(Endpoint &endpoint);
 
+    /** Whether another endpoint of its service began a successful answer after that time. */
+    bool haveOthersServed(const Endpoint &endpoint, BootTime after) const;
+
     /** Another endpoint answered at the endpoint's address, so the endpoint has ended. */
     void onAddressTaken(Endpoint &endpoint, BootTime now);
 
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -349,6 +349,12 @@
     return wasAvoided;
 }
 
+bool EndpointTable::haveOthersServed(const Endpoint &endpoint, BootTime after) const
+{
+    const auto all = endpointsOf(endpoint.record.service);
+    return std::any_of(all.begin(), all.end(), [&](const EndpointPointer &other) { return other.get() != &endpoint && other->servedAt > after; });
+}
+
 void EndpointTable::mergeGroups(std::string_view service, std::uint32_t one, std::uint32_t other)
 {
     if (one == other) {
