--- a/libs/forward/tests/endpointleavingtest.cpp
+++ b/libs/forward/tests/endpointleavingtest.cpp
@@ -8,19 +8,27 @@
 
 const std::string LeavingHeaders = "X-Leaving: 1\r\n";
 
+struct LeavingFixture : StatementFixture {
+    /** The endpoint states that it leaves, in its answer to a request. @return the number of requests that have arrived there by then. */
+    std::size_t stateLeaving(Endpoint &endpoint, const std::string &headers = LeavingHeaders)
+    {
+        endpoint.headers = headers;
+        runUntilArrival(endpoint);
+        runFor(Duration(50));
+        return endpoint.arrivals.size();
+    }
+};
+
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(EndpointLeavingTest, StatementFixture)
+BOOST_FIXTURE_TEST_SUITE(EndpointLeavingTest, LeavingFixture)
 
 // Guards against requests to an endpoint that has said in an answer that it leaves, while the list still names it as ready.
 BOOST_AUTO_TEST_CASE(answerStatesLeaving_listNamesTheEndpoint_itIsSentNothing)
 {
     Endpoint &leaving = addStatingEndpoint();
     addStatingEndpoint();
-    leaving.headers = LeavingHeaders;
-    runUntilArrival(leaving);
-    runFor(Duration(50));
-    const std::size_t before = leaving.arrivals.size();
+    const std::size_t before = stateLeaving(leaving);
     runLoad(Duration(1000));
     BOOST_TEST(leaving.arrivals.size() == before);
     runFor(Duration(100));
@@ -32,11 +40,8 @@
 {
     Endpoint &leaving = addStatingEndpoint();
     addStatingEndpoint();
-    leaving.headers = LeavingHeaders;
-    runUntilArrival(leaving);
-    runFor(Duration(50));
+    const std::size_t before = stateLeaving(leaving);
     leaving.headers.clear();
-    const std::size_t before = leaving.arrivals.size();
     task->putEndpoint(record(1));
     runLoad(Duration(200));
     task->removeEndpoint("e1");
@@ -64,10 +69,8 @@
 BOOST_AUTO_TEST_CASE(lastEndpointStatesLeaving_callersKeepComing_theyAreRefusedAtOnce)
 {
     Endpoint &leaving = addStatingEndpoint();
-    leaving.headers = LeavingHeaders;
-    runUntilArrival(leaving);
+    const std::size_t before = stateLeaving(leaving);
     runFor(Duration(3000)); // Just after its start an entry waits for endpoints.
-    const std::size_t before = leaving.arrivals.size();
     addCaller(request("repeatable"));
     BOOST_TEST(runUntil([&] { return !callers.back()->received().empty(); }, Duration(200)));
     BOOST_TEST(callers.back()->received().starts_with("HTTP/1.1 503"));
@@ -79,10 +82,7 @@
 {
     Endpoint &leaving = addStatingEndpoint();
     leaving.status = 503;
-    leaving.headers = LeavingHeaders + "X-Load: 0,0,4\r\n";
-    runUntilArrival(leaving);
-    runFor(Duration(50));
-    const std::size_t before = leaving.arrivals.size();
+    const std::size_t before = stateLeaving(leaving, LeavingHeaders + "X-Load: 0,0,4\r\n");
     runLoad(Duration(1000));
     BOOST_TEST(leaving.arrivals.size() == before);
 }
@@ -92,10 +92,7 @@
 {
     Endpoint &endpoint = addStatingEndpoint();
     task->putEndpoint(record(1, 1000));
-    endpoint.headers = LeavingHeaders;
-    runUntilArrival(endpoint);
-    runFor(Duration(50));
-    const std::size_t before = endpoint.arrivals.size();
+    const std::size_t before = stateLeaving(endpoint);
     runLoad(Duration(200));
     BOOST_TEST(endpoint.arrivals.size() == before);
     endpoint.headers.clear();
