--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -186,7 +186,7 @@
 bool ForwardedRequest::hasGroupRecovered() const
 {
     const auto served = context_.lastGoodAnswerAt.find(service_);
-    return served != context_.lastGoodAnswerAt.end() && served->second > groupRefusedAt_;
+    return served != context_.lastGoodAnswerAt.end() && served->second > refusedAt_;
 }
 
 void ForwardedRequest::beginWaiting(BootTime until)
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -156,7 +156,7 @@
     bool mayHaveRun_ = false;
     bool hasRetried_ = false;
     bool needsRetryBudget_ = false; ///< The next attempt is a retry and must be granted by the retry budget.
-    BootTime groupRefusedAt_; ///< When an endpoint last refused the request because its group was not running.
+    BootTime refusedAt_; ///< When an endpoint last refused the request because its group was not running or it asked for rest.
     std::shared_ptr<EndpointAttempt> attempt_;
     routing::EndpointPointer endpoint_; ///< Endpoint of the latest attempt.
     BootTime sentAt_;
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -283,7 +283,7 @@
 void ForwardedRequest::onGroupDown(std::string_view atFault)
 {
     needsRetryBudget_ = true;
-    groupRefusedAt_ = BootClock::now();
+    refusedAt_ = BootClock::now();
     attempts_.forgetLast(); // The endpoint may be tried again and must not count twice against the route's limit.
     if (waitForGroup(*endpoint_)) {
         logFailedAttempt("not-run", StatusUnavailable, atFault, "wait for its group");
@@ -296,7 +296,7 @@
 void ForwardedRequest::onAllResting()
 {
     needsRetryBudget_ = true;
-    groupRefusedAt_ = BootClock::now();
+    refusedAt_ = BootClock::now();
     attempts_.forgetLast(); // As for a group that does not run.
     const bool isWaiting = waitForRest();
     logFailedAttempt("not-run", incoming_.head.status, {}, isWaiting ? "wait for the end of a rest" : "all endpoints rest");
@@ -309,7 +309,7 @@
 void ForwardedRequest::onAddressTaken()
 {
     needsRetryBudget_ = true;
-    groupRefusedAt_ = BootClock::now();
+    refusedAt_ = BootClock::now();
     logFailedAttempt("not-run", StatusMisdirected, {}, "retry");
     dispatchNext();
 }
--- a/libs/forward/src/requestwait.h
+++ b/libs/forward/src/requestwait.h
@@ -21,7 +21,7 @@
 public:
     enum class For : std::uint8_t {
         Nothing,
-        Update, ///< A change of the routes or endpoints, or the recovery of the endpoint's group.
+        Update, ///< A change of the routes or endpoints, the recovery of the endpoint's group, or the end of an endpoint's rest.
         Slot, ///< A free slot in the service's SlotQueue.
         Probe, ///< The probe of an endpoint after a connection to it broke.
     };
