forward: the parts of a prompt are read and named where an endpoint crashes

Sight for the incident of a crashing prompt part: the logs named the fingerprint of the whole request only, so that it could not be told which parts the prompts of an end had. No decision asks for them.

--- a/libs/forward/include/forward/protocol.h
+++ b/libs/forward/include/forward/protocol.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace magnolia::forward
 {
@@ -37,11 +38,15 @@
     std::string priority = "X-Priority";
     std::string lastEventId = "Last-Event-Id";
     std::string generationSize = "X-Tokens";
+    std::string promptParts = "X-Prompt-Parts"; ///< Sent by callers: the parts of which the prompt consists, in order.
     std::string livenessPath{}; ///< Path for liveness checks, which endpoints answer at once under any load; any answer counts. Empty: no checks.
     std::string healthPath = "/health"; ///< Path of the load balancer's readiness check.
 
     std::optional<routing::LoadReport> (*parseLoad)(std::string_view value) = nullptr;
     std::optional<GenerationSize> (*parseGenerationSize)(std::string_view value) = nullptr;
+
+    /** Returns the ids of the prompt's parts that other requests may share. Null: prompts have none. */
+    std::vector<std::string_view> (*parseSharedPromptParts)(std::string_view value) = nullptr;
 };
 
 } // namespace magnolia::forward
--- a/libs/forward/src/admission.cpp
+++ b/libs/forward/src/admission.cpp
@@ -19,6 +19,8 @@
 // Upper bound for the timeout that a caller states, to keep time arithmetic in range.
 constexpr Duration MaxStatedTimeout = std::chrono::hours(24);
 
+constexpr std::size_t MaxPromptParts = 32; ///< Further ones are not tracked, which bounds what one request can cost.
+
 std::string_view pathOf(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -64,6 +66,16 @@
     return AdmittedRequest{.route = route, .organisation = organisation, .fingerprint = fingerprintOf(*input.request, organisation)};
 }
 
+std::vector<std::string_view> sharedPromptPartsOf(const CallerRequest &request, const Protocol &protocol)
+{
+    if (protocol.parseSharedPromptParts == nullptr) {
+        return {};
+    }
+    auto ids = protocol.parseSharedPromptParts(request.head.headers.value(protocol.promptParts));
+    ids.resize(std::min(ids.size(), MaxPromptParts));
+    return ids;
+}
+
 routing::CallerDeadlines callerDeadlinesOf(const CallerRequest &request, const Protocol &protocol)
 {
     routing::CallerDeadlines::Options options{.receivedAt = request.receivedAt};
--- a/libs/forward/src/admission.h
+++ b/libs/forward/src/admission.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace magnolia::forward
 {
@@ -46,6 +47,9 @@
  */
 tl::expected<AdmittedRequest, Rejection> admitRequest(const AdmissionInput &input);
 
+/** @return the ids of the prompt's parts that other requests may share. They point into the request. */
+std::vector<std::string_view> sharedPromptPartsOf(const CallerRequest &request, const Protocol &protocol);
+
 /** @return how long the caller waits for an answer, as stated by the request itself. */
 routing::CallerDeadlines callerDeadlinesOf(const CallerRequest &request, const Protocol &protocol);
 
--- a/libs/forward/src/crashtracker.cpp
+++ b/libs/forward/src/crashtracker.cpp
@@ -57,7 +57,12 @@
     const routing::CrashReport report{.fingerprint = attempt.fingerprint, .ordinal = attempt.ordinal, .endedAt = BootClock::now()};
     const bool isNew = quarantine_.addReport(report, report.endedAt);
     log()->info(
-        "Endpoint crashed while running a request endpoint={} fingerprint={} ordinal={} reported={}", endpoint, attempt.fingerprint, attempt.ordinal, isNew);
+        "Endpoint crashed while running a request endpoint={} fingerprint={} parts={} ordinal={} reported={}",
+        endpoint,
+        attempt.fingerprint,
+        attempt.promptParts,
+        attempt.ordinal,
+        isNew);
     if (isNew) {
         applyReport(report, "own");
         publisher_.publish(report, endpoint);
--- a/libs/forward/src/crashtracker.h
+++ b/libs/forward/src/crashtracker.h
@@ -30,6 +30,7 @@
 public:
     struct RequestAttempt {
         std::string fingerprint{}; ///< Of the request.
+        std::string promptParts{}; ///< Ids of the prompt's shared parts, for the log.
         std::uint32_t ordinal = 1; ///< nextOrdinal() when the attempt was dispatched.
     };
 
--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -40,6 +40,7 @@
     , writer_(&writer)
     , request_(std::move(request))
     , requestId_(request_.head.headers.value(context.options.protocol.requestId))
+    , promptParts_(sharedPromptPartsOf(request_, context.options.protocol))
     , callerDeadlines_(callerDeadlinesOf(request_, context.options.protocol))
     , updateWaitEnds_(request_.receivedAt + std::min(MaxUpdateWait, callerDeadlines_.timeLimit() / UpdateWaitShare))
     , timer_(context.loop, [this] { onTimer(); })
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -20,6 +20,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace magnolia::forward
 {
@@ -140,6 +141,7 @@
     const routing::Route *route_ = nullptr;
     const routing::Organisation *organisation_ = nullptr;
     std::uint32_t ordinal_ = 1; ///< Ordinal of the crash report if the endpoint of the current attempt crashes.
+    std::vector<std::string_view> promptParts_; ///< Ids of the parts that other requests may share; they point into request_.
     std::string fingerprint_; ///< Empty until route and organisation are known.
     std::string service_;
     SlotQueue *slots_ = nullptr; ///< The slot queue of service_; null until the service is chosen.
--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -5,6 +5,9 @@
 #include "retryafter.h"
 #include "statuscodes.h"
 
+#include <spdlog/fmt/fmt.h>
+#include <spdlog/fmt/ranges.h>
+
 #include <utility>
 
 namespace magnolia::forward
@@ -198,6 +201,7 @@
 {
     context_.log.logFailedAttempt({.requestId = requestId_,
                                    .fingerprint = fingerprint_,
+                                   .promptParts = promptParts_,
                                    .endpoint = endpoint_->record.id,
                                    .end = end,
                                    .status = status,
@@ -258,7 +262,7 @@
 {
     const BootTime now = BootClock::now();
     wait_.begin(RequestWait::For::Probe, now, now + routing::ConnectTimeout);
-    context_.crashTracker.probeEndpoint(endpoint_, {.fingerprint = fingerprint_, .ordinal = ordinal_}, [waiting = weak_from_this()] {
+    context_.crashTracker.probeEndpoint(endpoint_, {.fingerprint = fingerprint_, .promptParts = fmt::format("{}", fmt::join(promptParts_, " ")), .ordinal = ordinal_}, [waiting = weak_from_this()] {
         const auto self = waiting.lock();
         if (self != nullptr && self->wait_.stop(RequestWait::For::Probe)) {
             self->dispatchNext();
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -2,6 +2,8 @@
 
 #include "observe/log.h"
 
+#include <spdlog/fmt/ranges.h>
+
 namespace magnolia::forward
 {
 
@@ -58,9 +60,10 @@
     if (!reserveLine()) {
         return;
     }
-    log()->info("Sending failed id={} fingerprint={} endpoint={} end={} status={} at_fault={} decision={} took_ms={} alongside={}",
+    log()->info("Sending failed id={} fingerprint={} parts={} endpoint={} end={} status={} at_fault={} decision={} took_ms={} alongside={}",
                 record.requestId,
                 record.fingerprint,
+                fmt::join(record.promptParts, " "),
                 record.endpoint,
                 record.end,
                 record.status,
--- a/libs/forward/src/requestlog.h
+++ b/libs/forward/src/requestlog.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -39,6 +40,7 @@
 struct FailedAttemptRecord {
     std::string_view requestId{};
     std::string_view fingerprint{};
+    std::span<const std::string_view> promptParts{}; ///< Ids of the parts that other requests may share.
     std::string_view endpoint{};
     std::string_view end{}; ///< How the attempt ended, e.g. "lost" or "not-run".
     int status = 0; ///< Of the endpoint's answer; 0: none.
