routing: what instances share is divided by their load, not by their number

Callers would see: an entry to which nearly all new connections are handed for some seconds rejects streams that the endpoints could take, since its part of what the entries share is one of many. By reading, four shares were one divided by the number of entries: streams without a first event at an endpoint, the constant of the retry budget, an endpoint's rate limit and the pace of a backlog; a limit of streams found under a fifth of the load stayed when the whole of it came.

Now LoadShare estimates, from the load reports of endpoints, which share of a service's load is this entry's own: the requests beside the one that is answered are a fair sample. It is a lower bound of two standard deviations, so that an equal spread gives the equal share as before. What the shares of all entries may sum up to: at most twice the whole for a moment, which their reserves of two cover; the entries that callers left have nobody to use theirs.

--- a/libs/forward/src/forwardcontext.h
+++ b/libs/forward/src/forwardcontext.h
@@ -84,10 +84,12 @@
     routing::RetryAllowance &retryAllowanceOf(std::string_view service)
     {
         const auto found = retryAllowances.find(service);
-        if (found != retryAllowances.end()) {
-            return found->second;
+        routing::RetryAllowance &allowance =
+            found != retryAllowances.end() ? found->second : retryAllowances.emplace(service, routing::RetryAllowance(options.retries)).first->second;
+        if (isInstanceCountKnown) {
+            allowance.setInstances(endpoints.effectiveInstances(service, BootClock::now()));
         }
-        return retryAllowances.emplace(service, routing::RetryAllowance(options.retries)).first->second;
+        return allowance;
     }
 
     SlotQueue &slotsOf(std::string_view service)
@@ -99,17 +101,14 @@
         const std::string name(service);
         SlotQueue::Service capacity{.hasOpening = [this, name] { return endpoints.canAdmitStream(name, BootClock::now(), random); },
                                     .slots = [this, name] { return endpoints.slotsOf(name, BootClock::now()); },
-                                    .instances = [this] { return endpoints.instances(); }};
+                                    .instances = [this, name] { return endpoints.effectiveInstances(name, BootClock::now()); }};
         return *slotQueues.emplace(name, std::make_unique<SlotQueue>(loop, std::move(capacity))).first->second;
     }
 
     void setInstanceCount(std::size_t instances)
     {
-        options.retries.instances = instances;
+        isInstanceCountKnown = true;
         endpoints.setInstances(instances);
-        for (auto &[service, allowance] : retryAllowances) {
-            allowance.setInstances(instances);
-        }
     }
 
     event_base *loop;
@@ -127,6 +126,7 @@
     StatementReader statements;
     CrashTracker crashTracker;
     LivenessMonitor livenessMonitor;
+    bool isInstanceCountKnown = false;
     bool isStopping = false;
     BootTime acceptsUntil; ///< While stopping: every new request is accepted until then.
     BootTime exitsAt; ///< While stopping: the process exits then at the latest.
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -150,9 +150,11 @@
         return;
     }
     slots_->backlogGate().onPause(lastReceivedAt_ - before, route_->pauseObjective, lastReceivedAt_);
-    const routing::ConcurrencyLimit::Pause pause{.pause = lastReceivedAt_ - before, .objective = route_->pauseObjective, .inProgress = slots_->inProgress()};
+    const std::size_t instances = context_.endpoints.effectiveInstances(service_, lastReceivedAt_);
+    const routing::ConcurrencyLimit::Pause pause{
+        .pause = lastReceivedAt_ - before, .objective = route_->pauseObjective, .inProgress = slots_->inProgress(), .instances = instances};
     if (slots_->limit().onPause(pause, *stepModel_, lastReceivedAt_)) {
-        context_.log.logStreamLimit(service_, pause.pause, pause.inProgress, slots_->limit().limit(lastReceivedAt_).value_or(0));
+        context_.log.logStreamLimit(service_, pause.pause, pause.inProgress, slots_->limit().limit(instances, lastReceivedAt_).value_or(0));
     }
 }
 
--- a/libs/forward/src/slotqueue.h
+++ b/libs/forward/src/slotqueue.h
@@ -35,7 +35,7 @@
     struct Service {
         std::function<bool()> hasOpening; ///< Whether an endpoint can accept another stream.
         std::function<std::size_t()> slots; ///< Requests that all endpoints run concurrently.
-        std::function<std::size_t()> instances; ///< Entries that use the endpoints.
+        std::function<std::size_t()> instances; ///< Entries with the load of this one that the endpoints could serve, see LoadShare.
     };
 
     SlotQueue(event_base *loop, Service service) : timer_(loop, [this] { admitWaiting(); }), service_(std::move(service)) {}
@@ -136,7 +136,7 @@
 
     bool canAdmit(BootTime now) const
     {
-        return limit_.canAdmit(inProgress_, now) && service_.hasOpening();
+        return limit_.canAdmit(inProgress_, service_.instances(), now) && service_.hasOpening();
     }
 
     static Callback takeFirst(std::multimap<BootTime, Callback> &queue)
--- a/libs/forward/src/statementreader.cpp
+++ b/libs/forward/src/statementreader.cpp
@@ -36,7 +36,7 @@
     const Protocol &protocol = options_.protocol;
     const auto load = protocol.parseLoad == nullptr ? std::nullopt : protocol.parseLoad(answer.headers.value(protocol.load));
     if (load) {
-        routing::EndpointTable::onLoadReport(endpoint, *load, now);
+        options_.endpoints.onLoadReport(endpoint, *load, now);
     }
     return load;
 }
--- a/libs/http/tests/rawpeer.h
+++ b/libs/http/tests/rawpeer.h
@@ -3,6 +3,7 @@
 
 #include "http/eventhandles.h"
 #include "http/socketaddress.h"
+#include "http/timer.h"
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -45,9 +46,15 @@
         Reset,
     };
 
+    struct LaterBytes {
+        Duration delay{0}; ///< Since the request.
+        std::string bytes{};
+    };
+
     struct Answer {
         std::string bytes{};
         Then then = Then::KeepOpen;
+        std::vector<LaterBytes> later{}; ///< Sent if the connection is still open.
     };
 
     using Script = std::function<Answer(int requestNumber)>;
@@ -123,6 +130,17 @@
         }
     };
 
+    void sendLater(bufferevent *stream, const LaterBytes &later)
+    {
+        timers_.push_back(std::make_unique<Timer>(loop_, [this, stream, bytes = later.bytes] {
+            const bool isOpen = std::any_of(streams_.begin(), streams_.end(), [stream](const StreamPtr &open) { return open.get() == stream; });
+            if (isOpen) {
+                bufferevent_write(stream, bytes.data(), bytes.size());
+            }
+        }));
+        timers_.back()->start(later.delay);
+    }
+
     void drop(bufferevent *stream)
     {
         std::erase(answered_, stream);
@@ -152,6 +170,9 @@
         peer->lastRequest_ = received;
         const Answer answer = peer->script_(++peer->requests_);
         bufferevent_write(stream, answer.bytes.data(), answer.bytes.size());
+        for (const LaterBytes &later : answer.later) {
+            peer->sendLater(stream, later);
+        }
         std::erase(peer->answered_, stream);
         if (!answer.bytes.empty()) {
             peer->answered_.push_back(stream);
@@ -188,6 +209,7 @@
     std::vector<StreamPtr> streams_;
     std::vector<bufferevent *> answered_;
     std::vector<bufferevent *> closing_; ///< To be closed once their answer is written.
+    std::vector<std::unique_ptr<Timer>> timers_; ///< Of bytes to be sent later.
     int connections_ = 0;
     int requests_ = 0;
     std::string lastRequest_;
--- a/libs/routing/include/routing/concurrencylimit.h
+++ b/libs/routing/include/routing/concurrencylimit.h
@@ -19,11 +19,12 @@
  * feedback: a pause that is too long lowers the limit, and the limit grows by a fraction each second. Each instance adapts its limit independently;
  * all instances observe the same pauses, because the engines of a group run their passes together. The engines' published step model gives the
  * utilisation at which the pass would have met the objective. If that is less than half of the engines' slots, load is not the cause (demand has just
- * shifted, or a rank is down or held), fewer streams would not help, and the limit stays. No I/O, and time is passed in. Not thread-safe.
+ * shifted, or a rank is down or held), fewer streams would not help, and the limit stays. When callers of other instances move to this one, its limit
+ * rises with its share of the load, since the limits of the others are no longer used. No I/O, and time is passed in. Not thread-safe.
  *
  * @code
  * limit.onPause({.pause = gap, .objective = route.pauseObjective, .inProgress = inProgress}, steps, now);
- * if (!limit.canAdmit(inProgress, now)) { enqueue(); }
+ * if (!limit.canAdmit(inProgress, instances, now)) { enqueue(); }
  * @endcode
  */
 class ConcurrencyLimit
@@ -48,28 +49,31 @@
         BootClock::duration pause{0};
         Duration objective{0}; ///< 0: the route has none, and the pause is ignored.
         std::size_t inProgress = 0; ///< Streams that this instance has in progress for the service.
+        std::size_t instances = 1; ///< See LoadShare::effectiveInstances().
     };
 
     /** @param steps step model of the service's engines. @return true if the pause lowered the limit. */
     bool onPause(const Pause &pause, const StepModel &steps, BootTime now);
 
-    bool canAdmit(std::size_t inProgress, BootTime now) const
+    /** @param instances as in Pause. */
+    bool canAdmit(std::size_t inProgress, std::size_t instances, BootTime now) const
     {
-        return !limit_ || static_cast<double>(inProgress) < limitAt(now);
+        return !limit_ || static_cast<double>(inProgress) < limitAt(instances, now);
     }
 
     /** @return the current limit; nothing if none is set. */
-    std::optional<double> limit(BootTime now) const
+    std::optional<double> limit(std::size_t instances, BootTime now) const
     {
-        return limit_ ? std::optional(limitAt(now)) : std::nullopt;
+        return limit_ ? std::optional(limitAt(instances, now)) : std::nullopt;
     }
 
 private:
-    double limitAt(BootTime now) const;
+    double limitAt(std::size_t instances, BootTime now) const;
     double utilisation() const;
 
     Options options_;
     std::optional<double> limit_; ///< As of decreasedAt_.
+    std::size_t instancesAtDecrease_ = 1; ///< See Pause.
     BootTime decreasedAt_;
     double weightedUtilisation_ = 0; ///< Weighted sum of the fractions of slots in use, from the latest reports.
     double utilisationWeight_ = 0;
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -5,6 +5,7 @@
 #include "base/random.h"
 #include "routing/endpointavailability.h"
 #include "routing/firsteventlatency.h"
+#include "routing/loadshare.h"
 #include "routing/ratelimitshare.h"
 #include "routing/routetable.h"
 
@@ -147,6 +148,9 @@
         return instances_;
     }
 
+    /** @return the number of entries among which the service's load would be divided if each had the load of this one, see LoadShare. */
+    std::size_t effectiveInstances(std::string_view service, BootTime now) const;
+
     /**
      * Adds an endpoint or updates its record. An endpoint that restarted under the same id starts with fresh state, since load, failures and group of
      * its earlier run no longer apply; if that had asked for rest or was leaving, the new run is probed. A record of an earlier run than the known one is
@@ -226,7 +230,7 @@
     /** @return the minimum recent latency of first events; zero if no stream started recently. */
     BootClock::duration shortestFirstEventTime(std::string_view service, BootTime now) const;
 
-    static void onLoadReport(Endpoint &endpoint, const LoadReport &load, BootTime now);
+    void onLoadReport(Endpoint &endpoint, const LoadReport &load, BootTime now);
     static void onAttemptEnded(Endpoint &endpoint, AttemptOutcome outcome, BootTime now);
 
     /** @return the number of requests expected at the endpoint now. */
@@ -246,6 +250,7 @@
         BootTime lastReceivedAt;
         BootTime lastStartedSentAt;
         FirstEventLatency firstEventLatency;
+        LoadShare loadShare;
         BootTime unprovenAvoidUntil; ///< Until then endpoints that have not answered are avoided; the epoch if they are not.
     };
 
@@ -259,7 +264,7 @@
     void rememberStatements(const Endpoint &endpoint);
     std::shared_ptr<EndpointStatements> takeStatements(const EndpointRecord &record);
     ServiceActivity &activityOf(std::string_view service);
-    bool isAtUnstartedLimit(const Endpoint &endpoint) const;
+    bool isAtUnstartedLimit(const Endpoint &endpoint, BootTime now) const;
     AvoidanceLevel avoidanceOf(const Endpoint &endpoint, const ChoiceRequest &request, BootTime now) const;
     double cost(const Endpoint &endpoint, BootTime now) const;
     void mergeGroups(std::string_view service, std::uint32_t one, std::uint32_t other);
--- a/libs/routing/src/concurrencylimit.cpp
+++ b/libs/routing/src/concurrencylimit.cpp
@@ -47,6 +47,7 @@
     }
     const double factor = std::max(targetUtilisation / utilisation(), options_.minDecreaseFactor);
     limit_ = std::max(static_cast<double>(pause.inProgress) * factor, options_.minLimit);
+    instancesAtDecrease_ = pause.instances;
     decreasedAt_ = now;
     return true;
 }
@@ -57,9 +58,10 @@
     return weightedUtilisation_ / utilisationWeight_;
 }
 
-double ConcurrencyLimit::limitAt(BootTime now) const
+double ConcurrencyLimit::limitAt(std::size_t instances, BootTime now) const
 {
-    return *limit_ * std::exp(options_.growthPerSecond * std::chrono::duration<double>(now - decreasedAt_).count());
+    const double concentration = static_cast<double>(instancesAtDecrease_) / static_cast<double>(std::max<std::size_t>(instances, 1));
+    return *limit_ * std::max(concentration, 1.0) * std::exp(options_.growthPerSecond * std::chrono::duration<double>(now - decreasedAt_).count());
 }
 
 } // namespace magnolia::routing
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -200,7 +200,8 @@
 
 bool EndpointTable::mayDispatch(Endpoint &endpoint, BootTime now, Random &random) const
 {
-    return endpoint.acceptsRequests() && endpoint.stated->availability.mayDispatch(now) && endpoint.stated->limit.canSend(instances_, now, random);
+    return endpoint.acceptsRequests() && endpoint.stated->availability.mayDispatch(now)
+        && endpoint.stated->limit.canSend(effectiveInstances(endpoint.record.service, now), now, random);
 }
 
 std::optional<BootTime> EndpointTable::nextRestEnd(const ChoiceRequest &request, BootTime now) const
@@ -216,9 +217,15 @@
     return earliest;
 }
 
-bool EndpointTable::isAtUnstartedLimit(const Endpoint &endpoint) const
+std::size_t EndpointTable::effectiveInstances(std::string_view service, BootTime now) const
 {
-    const std::size_t share = endpoint.record.slots / (UnstartedSlotDivisor * std::max<std::size_t>(instances_, 1));
+    const auto activity = activity_.find(service);
+    return activity == activity_.end() ? std::max<std::size_t>(instances_, 1) : activity->second.loadShare.effectiveInstances(instances_, now);
+}
+
+bool EndpointTable::isAtUnstartedLimit(const Endpoint &endpoint, BootTime now) const
+{
+    const std::size_t share = endpoint.record.slots / (UnstartedSlotDivisor * effectiveInstances(endpoint.record.service, now));
     return endpoint.unstartedStreams >= std::max<std::size_t>(share, 1);
 }
 
@@ -235,7 +242,7 @@
     if (joinsSuspect || isAvoided || endpoint.isSuspected) {
         return AvoidanceLevel::Avoided;
     }
-    return isAtUnstartedLimit(endpoint) ? AvoidanceLevel::Saturated : AvoidanceLevel::None;
+    return isAtUnstartedLimit(endpoint, now) ? AvoidanceLevel::Saturated : AvoidanceLevel::None;
 }
 
 EndpointPointer EndpointTable::choose(const ChoiceRequest &request, BootTime now, Random &random) const
@@ -324,7 +331,7 @@
 
 void EndpointTable::onDispatch(Endpoint &endpoint, BootTime now, Random &random)
 {
-    endpoint.stated->limit.consume(instances_, now, random);
+    endpoint.stated->limit.consume(effectiveInstances(endpoint.record.service, now), now, random);
     endpoint.stated->availability.onDispatch(now);
     if (endpoint.groupAvoidUntil != BootTime()) {
         setGroupAvoidUntil(endpoint, now + GroupRetryInterval);
@@ -380,7 +387,8 @@
 
 bool EndpointTable::updateRateLimit(Endpoint &endpoint, std::optional<double> perSecond, BootTime now, Random &random) const
 {
-    return perSecond ? endpoint.stated->limit.update(*perSecond, instances_, now, random) : endpoint.stated->limit.clear();
+    return perSecond ? endpoint.stated->limit.update(*perSecond, effectiveInstances(endpoint.record.service, now), now, random)
+                     : endpoint.stated->limit.clear();
 }
 
 bool EndpointTable::canAdmitStream(std::string_view service, BootTime now, Random &random) const
@@ -395,7 +403,7 @@
         hasAccepting = true;
         const AvoidanceLevel avoidance = avoidanceOf(*endpoint, {.service = service}, now);
         hasSaturated = hasSaturated || avoidance == AvoidanceLevel::Saturated;
-        const bool isFree = avoidance < AvoidanceLevel::Unresponsive && !isAtUnstartedLimit(*endpoint) && mayDispatch(*endpoint, now, random);
+        const bool isFree = avoidance < AvoidanceLevel::Unresponsive && !isAtUnstartedLimit(*endpoint, now) && mayDispatch(*endpoint, now, random);
         if (isFree && avoidance == AvoidanceLevel::None) {
             return true;
         }
@@ -456,6 +464,7 @@
     endpoint.load = load;
     endpoint.inFlightAtReport = endpoint.inFlight;
     endpoint.reportedAt = now;
+    activityOf(endpoint.record.service).loadShare.onLoadReport({.own = endpoint.inFlight, .total = load.running + load.waiting}, now);
 }
 
 void EndpointTable::onAttemptEnded(Endpoint &endpoint, AttemptOutcome outcome, BootTime now)
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -115,7 +115,7 @@
 BOOST_AUTO_TEST_CASE(endpoint_reportsOthersRequests_isNotChosenUntilTheReportIsOld)
 {
     for (const char *id : {"a", "b"}) {
-        EndpointTable::onLoadReport(*table.find(id), {.running = 4, .waiting = 2, .slots = 4}, Now - 100ms);
+        table.onLoadReport(*table.find(id), {.running = 4, .waiting = 2, .slots = 4}, Now - 100ms);
     }
     BOOST_TEST(choices(50)["c"] == 50);
     BOOST_TEST(EndpointTable::expectedLoad(*table.find("a"), Now + 10s) < 0.1);
@@ -125,7 +125,7 @@
 {
     const auto endpoint = table.find("a");
     endpoint->inFlight = 3;
-    EndpointTable::onLoadReport(*endpoint, {.running = 3, .waiting = 0, .slots = 4}, Now);
+    table.onLoadReport(*endpoint, {.running = 3, .waiting = 0, .slots = 4}, Now);
     BOOST_TEST(EndpointTable::expectedLoad(*endpoint, Now) == 3);
 }
 
