forward: the constant of the retry budget is divided by the number of instances as before

An instance may use its part of a window at once, so that three instances to which all callers are handed one after the other within a window would have used one and a half times the constant. First attempts don't need it, and the part that grows with an instance's own requests follows the load by itself.

--- a/libs/forward/src/forwardcontext.h
+++ b/libs/forward/src/forwardcontext.h
@@ -84,12 +84,10 @@
     routing::RetryAllowance &retryAllowanceOf(std::string_view service)
     {
         const auto found = retryAllowances.find(service);
-        routing::RetryAllowance &allowance =
-            found != retryAllowances.end() ? found->second : retryAllowances.emplace(service, routing::RetryAllowance(options.retries)).first->second;
-        if (isInstanceCountKnown) {
-            allowance.setInstances(endpoints.effectiveInstances(service, BootClock::now()));
+        if (found != retryAllowances.end()) {
+            return found->second;
         }
-        return allowance;
+        return retryAllowances.emplace(service, routing::RetryAllowance(options.retries)).first->second;
     }
 
     SlotQueue &slotsOf(std::string_view service)
@@ -107,8 +105,11 @@
 
     void setInstanceCount(std::size_t instances)
     {
-        isInstanceCountKnown = true;
+        options.retries.instances = instances;
         endpoints.setInstances(instances);
+        for (auto &[service, allowance] : retryAllowances) {
+            allowance.setInstances(instances);
+        }
     }
 
     event_base *loop;
@@ -126,7 +127,6 @@
     StatementReader statements;
     CrashTracker crashTracker;
     LivenessMonitor livenessMonitor;
-    bool isInstanceCountKnown = false;
     bool isStopping = false;
     BootTime acceptsUntil; ///< While stopping: every new request is accepted until then.
     BootTime exitsAt; ///< While stopping: the process exits then at the latest.
