routing: an entry's share of the load is computed only where it matters

A choice went through it twice for each endpoint. It is asked for endpoints that state a rate limit, and those with a stream of this entry that has not begun; elsewhere it changes nothing.

--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -200,8 +200,11 @@
 
 bool EndpointTable::mayDispatch(Endpoint &endpoint, BootTime now, Random &random) const
 {
-    return endpoint.acceptsRequests() && endpoint.stated->availability.mayDispatch(now)
-        && endpoint.stated->limit.canSend(effectiveInstances(endpoint.record.service, now), now, random);
+    if (!endpoint.acceptsRequests() || !endpoint.stated->availability.mayDispatch(now)) {
+        return false;
+    }
+    RateLimitShare &limit = endpoint.stated->limit;
+    return !limit.isLimited() || limit.canSend(effectiveInstances(endpoint.record.service, now), now, random);
 }
 
 std::optional<BootTime> EndpointTable::nextRestEnd(const ChoiceRequest &request, BootTime now) const
@@ -225,6 +228,9 @@
 
 bool EndpointTable::isAtUnstartedLimit(const Endpoint &endpoint, BootTime now) const
 {
+    if (endpoint.unstartedStreams == 0) {
+        return false;
+    }
     const std::size_t share = endpoint.record.slots / (UnstartedSlotDivisor * effectiveInstances(endpoint.record.service, now));
     return endpoint.unstartedStreams >= std::max<std::size_t>(share, 1);
 }
