--- a/libs/forward/src/crashtracker.cpp
+++ b/libs/forward/src/crashtracker.cpp
@@ -60,7 +60,7 @@
     if (result == ProbeResult::Down) {
         recordCrash(endpoint, attempt);
     } else if (result == ProbeResult::Up && attempt.hadBegun) {
-        quarantine_.onSurvived(attempt.suspects);
+        quarantine_.onBrokenOffAtLiveEndpoint(attempt.suspects);
     }
 }
 
--- a/libs/routing/include/routing/answermemory.h
+++ b/libs/routing/include/routing/answermemory.h
@@ -22,7 +22,7 @@
  *
  * @code
  * memory.onAnswered(causes, now);
- * if (!memory.vouchesFor(fingerprint, crashedAt)) { report(fingerprint); }
+ * if (!memory.isUnlikelyCause(fingerprint, crashedAt)) { report(fingerprint); }
  * @endcode
  */
 class AnswerMemory
@@ -44,7 +44,7 @@
     void onCrash(std::string_view fingerprint, BootTime dispatchedAt, BootTime now);
 
     /** Whether a crash at the given time says nothing about it, because it was answered since or shortly before. */
-    bool vouchesFor(std::string_view fingerprint, BootTime crashedAt) const;
+    bool isUnlikelyCause(std::string_view fingerprint, BootTime crashedAt) const;
 
 private:
     struct ServiceAnswers {
--- a/libs/routing/include/routing/quarantine.h
+++ b/libs/routing/include/routing/quarantine.h
@@ -40,14 +40,15 @@
  *
  * A crash affects every request that runs at the endpoint, so a single one proves little. The cause differs from all else that ran there in that it
  * crashes one endpoint after another and is never answered. Hence each possible cause is reported, crashes of concurrent attempts count once (their
- * reports have the same ordinal), and one complete answer clears all that its request carried. What AnswerMemory vouches for is not reported, so that
- * common requests and parts are not suspected while endpoints crash for other reasons.
+ * reports have the same ordinal), and one complete answer clears all that its request carried. What AnswerMemory takes for an unlikely cause is not reported,
+ * so that common requests and parts are not suspected while endpoints crash for other reasons.
  *
  * A cause with as many reports as the threshold is quarantined from its last crash on, and the time doubles with each further report.
  *
  * - Attempts that broke off although their endpoint lives count in favour of what they carried. Without that, a part that most requests share would be
  *   quarantined when the endpoints of a group that answers nothing crash for other reasons.
- * - A part whose crashes all had the same quarantined companion may only have accompanied the cause. A request with just one of the two is a trial.
+ * - A part that had the same quarantined companion in its crashes, but for fewer than the threshold, may only have accompanied the cause. A request with
+ *   just one of the two is a trial.
  * - A request is also a trial after the end of a quarantine. Trials are paced.
  *
  * Instances share reports and answers; each decides on what it knows. Lives as long as its entry's task. Not thread-safe.
@@ -97,7 +98,7 @@
     /** An endpoint crashed while it ran an attempt. @return the new reports. */
     std::vector<CrashReport> onCrash(std::span<const CrashSuspect> suspects, BootTime now);
 
-    /** @return false if nothing changed, because the report is known or too old, or answers vouch for the cause. */
+    /** @return false if nothing changed, because the report is known or too old, or answers refute it. */
     bool addReport(const CrashReport &report, BootTime now);
 
     /** Removes a report that a peer has withdrawn. */
@@ -107,12 +108,12 @@
     std::vector<CrashReport> onAnswered(const CrashCauses &causes, BootTime now);
 
     /** An attempt broke off that an endpoint had begun to answer, and the endpoint lives. */
-    void onSurvived(std::span<const CrashSuspect> suspects);
+    void onBrokenOffAtLiveEndpoint(std::span<const CrashSuspect> suspects);
 
     /** Whether answers to this instance show that the report says nothing about its cause. */
     bool isRefuted(const CrashReport &report) const
     {
-        return answers_.vouchesFor(report.fingerprint, report.endedAt);
+        return answers_.isUnlikelyCause(report.fingerprint, report.endedAt);
     }
 
     struct AdmissionRequest {
@@ -136,14 +137,14 @@
     struct Evidence {
         std::map<std::uint32_t, std::vector<std::string>> companions{}; ///< Of each report, by its ordinal.
         BootTime lastEnd{};
-        std::size_t survivals = 0; ///< See onSurvived(); since the first report.
+        std::size_t brokenOffAtLiveEndpoint = 0; ///< Number of calls of onBrokenOffAtLiveEndpoint() since the first report.
         RateLimitShare trials{};
     };
 
     Evidence *find(std::string_view fingerprint);
-    bool isConvicted(const Evidence &evidence) const;
+    bool isThresholdReached(const Evidence &evidence) const;
     bool isExplainedElsewhere(const Evidence &evidence, const CrashCauses &causes) const;
-    Admission judge(const Evidence &evidence, const CrashCauses &causes, BootTime now) const;
+    Admission evaluate(const Evidence &evidence, const CrashCauses &causes, BootTime now) const;
     bool takeTrial(Evidence &evidence, std::size_t instances, BootTime now, Random &random) const;
     BootClock::duration quarantineTime(const Evidence &evidence) const;
     BootTime retainedUntil(const Evidence &evidence) const;
--- a/libs/routing/src/answermemory.cpp
+++ b/libs/routing/src/answermemory.cpp
@@ -41,7 +41,7 @@
     }
 }
 
-bool AnswerMemory::vouchesFor(std::string_view fingerprint, BootTime crashedAt) const
+bool AnswerMemory::isUnlikelyCause(std::string_view fingerprint, BootTime crashedAt) const
 {
     const Answers *current = find(current_, fingerprint);
     const Answers *previous = find(previous_, fingerprint);
--- a/libs/routing/src/quarantine.cpp
+++ b/libs/routing/src/quarantine.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t MaxDoublings = 20;
 
 // For each report, so that an attempt of the cause that happens to be cut for another reason does not clear it.
-constexpr std::size_t SurvivalsPerReport = 2;
+constexpr std::size_t BrokenOffPerReport = 2;
 
 // Crashes one after the other, as a multiple of the threshold, that outweigh earlier answers.
 constexpr std::size_t CrashesToLoseTrust = 2;
@@ -61,7 +61,7 @@
     for (const CrashSuspect &suspect : suspects) {
         answers_.onCrash(suspect.fingerprint, suspect.dispatchedAt, now);
         reports.push_back({.fingerprint = suspect.fingerprint, .ordinal = suspect.ordinal, .endedAt = now});
-        if (isPromptPart(suspect.fingerprint) && !answers_.vouchesFor(suspect.fingerprint, now)) {
+        if (isPromptPart(suspect.fingerprint) && !answers_.isUnlikelyCause(suspect.fingerprint, now)) {
             parts.push_back(suspect.fingerprint);
         }
     }
@@ -129,11 +129,11 @@
     return cleared;
 }
 
-void Quarantine::onSurvived(std::span<const CrashSuspect> suspects)
+void Quarantine::onBrokenOffAtLiveEndpoint(std::span<const CrashSuspect> suspects)
 {
     for (const CrashSuspect &suspect : suspects) {
         if (Evidence *evidence = find(suspect.fingerprint)) {
-            ++evidence->survivals;
+            ++evidence->brokenOffAtLiveEndpoint;
         }
     }
 }
@@ -147,7 +147,7 @@
         if (evidence == nullptr) {
             return;
         }
-        const Admission admission = judge(*evidence, request.causes, now);
+        const Admission admission = evaluate(*evidence, request.causes, now);
         if (admission.kind == Admission::Kind::Trial) {
             tried.push_back(evidence);
         }
@@ -163,9 +163,9 @@
 }
 
 /** @return what the reports about one cause mean for a request that carries it among others. */
-Quarantine::Admission Quarantine::judge(const Evidence &evidence, const CrashCauses &causes, BootTime now) const
+Quarantine::Admission Quarantine::evaluate(const Evidence &evidence, const CrashCauses &causes, BootTime now) const
 {
-    if (!isConvicted(evidence) || now >= retainedUntil(evidence)) {
+    if (!isThresholdReached(evidence) || now >= retainedUntil(evidence)) {
         return {};
     }
     const BootClock::duration left = evidence.lastEnd + quarantineTime(evidence) - now;
@@ -190,7 +190,7 @@
 std::optional<Duration> Quarantine::timeLeft(std::string_view fingerprint, BootTime now) const
 {
     const auto found = reported_.find(fingerprint);
-    if (found == reported_.end() || !isConvicted(found->second)) {
+    if (found == reported_.end() || !isThresholdReached(found->second)) {
         return std::nullopt;
     }
     const BootClock::duration left = found->second.lastEnd + quarantineTime(found->second) - now;
@@ -203,13 +203,13 @@
     return found == reported_.end() ? nullptr : &found->second;
 }
 
-bool Quarantine::isConvicted(const Evidence &evidence) const
+bool Quarantine::isThresholdReached(const Evidence &evidence) const
 {
     const std::size_t reports = evidence.companions.size();
-    return reports >= options_.reportThreshold && evidence.survivals < SurvivalsPerReport * reports;
+    return reports >= options_.reportThreshold && evidence.brokenOffAtLiveEndpoint < BrokenOffPerReport * reports;
 }
 
-/** Whether a quarantined part that the request does not carry was present in all crashes that speak against the cause, but for fewer than convict it. */
+/** Whether a quarantined part that the request does not carry was present in the crashes of the cause, but for fewer than the threshold. */
 bool Quarantine::isExplainedElsewhere(const Evidence &evidence, const CrashCauses &causes) const
 {
     std::map<std::string_view, std::size_t> explained; // Number of crashes, by companion.
@@ -221,7 +221,7 @@
     return std::any_of(explained.begin(), explained.end(), [&](const auto &entry) {
         const auto &[companion, crashes] = entry;
         const auto other = reported_.find(companion);
-        const bool isQuarantined = other != reported_.end() && isConvicted(other->second);
+        const bool isQuarantined = other != reported_.end() && isThresholdReached(other->second);
         return isQuarantined && !causes.contains(companion) && evidence.companions.size() - crashes < options_.reportThreshold;
     });
 }
@@ -250,7 +250,7 @@
     if (reported_.size() < options_.maxReported) {
         return;
     }
-    const auto rank = [this](const Evidence &evidence) { return std::pair(isConvicted(evidence), evidence.lastEnd); };
+    const auto rank = [this](const Evidence &evidence) { return std::pair(isThresholdReached(evidence), evidence.lastEnd); };
     reported_.erase(
         std::min_element(reported_.begin(), reported_.end(), [&](const auto &one, const auto &other) { return rank(one.second) < rank(other.second); }));
 }
--- a/libs/routing/tests/quarantinetest.cpp
+++ b/libs/routing/tests/quarantinetest.cpp
@@ -276,7 +276,7 @@
     for (int crash = 0; crash < 3; ++crash) {
         dispatchAndCrash(withParts({"common"}));
         for (int stream = 0; stream < 2; ++stream) {
-            quarantine.onSurvived(quarantine.suspectsOf(withParts({"common"}), now));
+            quarantine.onBrokenOffAtLiveEndpoint(quarantine.suspectsOf(withParts({"common"}), now));
         }
     }
     BOOST_TEST((kindOf(withParts({"common"})) == Kind::Allowed));
--- a/libs/routing/tests/quarantineworld.h
+++ b/libs/routing/tests/quarantineworld.h
@@ -264,7 +264,7 @@
         for (Endpoint &endpoint : endpoints_) {
             for (const Run &run : endpoint.runs) {
                 if (run.number <= last) {
-                    entries_[run.entry]->onSurvived(run.suspects);
+                    entries_[run.entry]->onBrokenOffAtLiveEndpoint(run.suspects);
                 }
             }
             std::erase_if(endpoint.runs, [last](const Run &run) { return run.number <= last; });
