routing: the simulation of quarantines counts each rejection of the common request again

The generalised world counted rejections at first attempts only, which is less than the check had asked before.

--- a/libs/routing/tests/quarantineworld.h
+++ b/libs/routing/tests/quarantineworld.h
@@ -50,6 +50,7 @@
     struct Tally {
         int sent = 0;
         int rejected = 0; ///< At their first attempt.
+        int rejectedAtAnyAttempt = 0;
         int answered = 0;
         int crashed = 0; ///< Attempts whose endpoint crashed, for whatever reason.
     };
@@ -182,6 +183,7 @@
         Quarantine &quarantine = *entries_[run.entry];
         const auto admission = quarantine.admit({.causes = run.causes, .isTrial = run.isTrial, .instances = entries_.size()}, now_, random_);
         if (admission.kind == Quarantine::Admission::Kind::Rejected) {
+            count(run, &Tally::rejectedAtAnyAttempt);
             if (run.attempt == 1) {
                 count(run, &Tally::rejected);
             }
--- a/libs/routing/tests/quarantineworldtest.cpp
+++ b/libs/routing/tests/quarantineworldtest.cpp
@@ -60,7 +60,7 @@
         {
             BOOST_TEST(world.tally("crashing").crashed >= 2);
             BOOST_TEST(world.furtherDispatches <= MaxFurtherDispatches);
-            BOOST_TEST(world.tally("common").rejected == 0);
+            BOOST_TEST(world.tally("common").rejectedAtAnyAttempt == 0);
             BOOST_TEST(world.tally("common").answered > 100);
         }
     }
