group: counts that don't name their incarnation are used

Cause: their engines name the start of their run with their state, but not with their counts. An absent start was read as 0, and counts "of run 0" were taken for those of an earlier run and dropped without a word, so that the coordinator's demand stayed empty.

Change: an absent start is unknown (StatedIncarnation), neither earlier than nor of another run than any other, in every statement: state, counts, held experts, registrations. It also ends two neighbours of the fault: a state without a start after one with it would have been dropped for ever, and an engine that restarts under counts without a start mixed differences with whole counts (CountDifferences). What is dropped is counted and logged.

Ruled out: easing the one condition (a state without a start would still be dropped).

Existing tests: incarnations are written as StatedIncarnation; what they check is unchanged.

--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -209,7 +209,7 @@
                     record.address,
                     record.dataCentre,
                     record.isLeaving,
-                    record.incarnation);
+                    record.incarnation.startedAtMs().value_or(0));
     }
     if (isOtherRun || current->record.isLeaving) {
         context_.connections.closeAll(record.id); // They lead to a process that has ended or is about to end.
--- a/libs/forward/tests/endpointleavingtest.cpp
+++ b/libs/forward/tests/endpointleavingtest.cpp
@@ -91,12 +91,12 @@
 BOOST_AUTO_TEST_CASE(answerStatesLeaving_endpointRunsAnewUnderItsId_itIsUsed)
 {
     Endpoint &endpoint = addStatingEndpoint();
-    task->putEndpoint(record(1, 1000));
+    task->putEndpoint(record(1, StatedIncarnation(1000)));
     const std::size_t before = stateLeaving(endpoint);
     runLoad(Duration(200));
     BOOST_TEST(endpoint.arrivals.size() == before);
     endpoint.headers.clear();
-    task->putEndpoint(record(1, 2000));
+    task->putEndpoint(record(1, StatedIncarnation(2000)));
     runLoad(Duration(200));
     BOOST_TEST(endpoint.arrivals.size() > before + 3);
 }
--- a/libs/forward/tests/endpointlisttest.cpp
+++ b/libs/forward/tests/endpointlisttest.cpp
@@ -21,7 +21,7 @@
 
 EndpointRecord recordOf(const std::string &id, bool isLeaving = false)
 {
-    return {.id = id, .service = "s", .address = "10.0.0.9:80", .dataCentre = "north", .slots = 4, .isLeaving = isLeaving, .incarnation = 0};
+    return {.id = id, .service = "s", .address = "10.0.0.9:80", .dataCentre = "north", .slots = 4, .isLeaving = isLeaving, .incarnation = {}};
 }
 
 struct EndpointListFixture : http::LoopFixture {
--- a/libs/forward/tests/endpointresttest.cpp
+++ b/libs/forward/tests/endpointresttest.cpp
@@ -153,14 +153,14 @@
 BOOST_AUTO_TEST_CASE(endpointAsksForRest_itRunsAnewUnderItsId_itIsUsed)
 {
     Endpoint &endpoint = addStatingEndpoint();
-    task->putEndpoint(record(1, 1000));
+    task->putEndpoint(record(1, StatedIncarnation(1000)));
     startRest(endpoint, "Retry-After: 3600\r\n");
     runUntilArrival(endpoint);
     const std::size_t before = endpoint.arrivals.size();
     runLoad(Duration(200));
     BOOST_TEST(endpoint.arrivals.size() == before);
     endRest(endpoint);
-    task->putEndpoint(record(1, 2000));
+    task->putEndpoint(record(1, StatedIncarnation(2000)));
     runLoad(Duration(200));
     BOOST_TEST(endpoint.arrivals.size() > before + 3);
 }
--- a/libs/forward/tests/statementfixture.h
+++ b/libs/forward/tests/statementfixture.h
@@ -72,7 +72,7 @@
     }
 
     /** The platform's entry of the endpoint with this number from 1 on. @param incarnation start time of its run. */
-    routing::EndpointRecord record(std::size_t number, std::uint64_t incarnation = 0) const
+    routing::EndpointRecord record(std::size_t number, StatedIncarnation incarnation = {}) const
     {
         return {.id = "e" + std::to_string(number),
                 .service = "s",
--- a/libs/group/include/group/engineport.h
+++ b/libs/group/include/group/engineport.h
@@ -2,6 +2,7 @@
 #define MAGNOLIA_GROUP_ENGINEPORT_H
 
 #include "base/failure.h"
+#include "base/statedincarnation.h"
 #include "group/rankstate.h"
 
 #include <cstdint>
@@ -18,7 +19,7 @@
 struct ExpertCounts {
     std::uint64_t epoch = 0;
     std::vector<std::uint64_t> counts; ///< All experts of the first set, then all of the second, and so on.
-    std::uint64_t incarnation = 0; ///< Incarnation of the engine, as RankState::incarnation.
+    StatedIncarnation incarnation{};
 };
 
 /** The experts that a rank holds under the map in use. */
@@ -26,6 +27,7 @@
     std::uint64_t epoch = 0;
     std::uint64_t version = 0;
     std::vector<std::vector<std::uint16_t>> experts; ///< By set.
+    StatedIncarnation incarnation{};
 };
 
 /** Access to one engine. Each call invokes its callback exactly once, on the thread of the event loop and never before the call returns. */
--- a/libs/group/include/group/rankstate.h
+++ b/libs/group/include/group/rankstate.h
@@ -1,6 +1,8 @@
 #ifndef MAGNOLIA_GROUP_RANKSTATE_H
 #define MAGNOLIA_GROUP_RANKSTATE_H
 
+#include "base/statedincarnation.h"
+
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -36,7 +38,7 @@
     std::uint32_t runningRequests = 0;
     std::uint32_t waitingRequests = 0;
     double pace = 1; ///< Time for the same work relative to normal; above 1 the rank is slow.
-    std::uint64_t incarnation = 0; ///< Start of the engine in Unix milliseconds; 0: unknown.
+    StatedIncarnation incarnation{};
 
     bool operator==(const RankState &) const = default;
 };
--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "coordinator.h"
+#include "countdifferences.h"
 #include "group/coordinatorterm.h"
 #include "groupcodec.h"
 #include "http/socketaddress.h"
@@ -12,6 +13,7 @@
 
 #include <algorithm>
 #include <random>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -45,6 +47,11 @@
 // Time after an order during which the engine is polled more often. Copying an expert takes some tenths of a second, other orders take less.
 constexpr Duration FastPollTime{1000};
 
+// An engine that restarts is unreadable for seconds and polled several times a second.
+constexpr Duration DropLogInterval{5000};
+
+constexpr std::string_view EarlierRun = "it is of an earlier run";
+
 std::shared_ptr<spdlog::logger> log()
 {
     static const auto instance = observe::logger("group");
@@ -81,6 +88,7 @@
         , pollTimer_(loop, [this] { poll(); })
         , resignTimer_(loop, [this] { coordinator_.reset(); })
         , orderTimer_(loop, [this] { retryOrder(); })
+        , droppedStatements_(metrics.counter("magnolia_group_statements_dropped_total", "Statements of the engine that were of an earlier run or unreadable."))
         , coordinatorLastReceivedAt_(BootClock::now())
         , claimJitter_(std::uniform_int_distribution<Duration::rep>(0, MaxClaimJitter.count())(random_))
     {
@@ -97,6 +105,7 @@
     bool acceptState(const RankState &state);
     void handleState(const RankState &state);
     void handleCounts(const ExpertCounts &counts);
+    void dropStatement(std::string_view kind, std::string_view cause);
     void readHeldExpertsIfChanged();
     void sendReport();
     bool areCountsDue() const;
@@ -136,8 +145,9 @@
     std::uint64_t lastLink_ = 0;
 
     std::optional<RankState> state_;
-    std::optional<ExpertCounts> lastCounts_; ///< Counts at the last read.
-    std::vector<std::uint64_t> newCounts_; ///< Choices between the last two reads; empty once they have been sent.
+    CountDifferences countDifferences_; ///< Choices that have not been reported.
+    BootTime droppedLoggedAt_;
+    observe::Counter &droppedStatements_;
     struct ReportedExperts {
         std::uint64_t epoch = 0;
         std::uint64_t version = 0;
@@ -207,23 +217,38 @@
     engine_.readState(guarded<Result<RankState>>([this](Result<RankState> state) {
         if (state) {
             handleState(*state);
+        } else {
+            dropStatement("state", state.error().detail);
         }
     }));
 }
 
+/** Counts a statement of the engine that is not used, and logs it unless one was logged shortly before. */
+void GroupTaskImpl::dropStatement(std::string_view kind, std::string_view cause)
+{
+    droppedStatements_.add();
+    const BootTime now = BootClock::now();
+    if (now >= droppedLoggedAt_ + DropLogInterval) {
+        droppedLoggedAt_ = now;
+        log()->warn("Statement of the engine not used kind={} cause={} total={}", kind, cause, droppedStatements_.value());
+    }
+}
+
 /** Stores a state read from the engine. @return false if the state is of an earlier run of the engine and was discarded. */
 bool GroupTaskImpl::acceptState(const RankState &state)
 {
-    if (state_ && state.incarnation < state_->incarnation) {
-        return false; // A late answer of the previous run.
+    if (state_ && state.incarnation.isEarlierThan(state_->incarnation)) {
+        dropStatement("state", EarlierRun);
+        return false;
     }
-    if (state_ && state.incarnation != state_->incarnation) {
-        log()->info("Engine restarted incarnation={} before={}", state.incarnation, state_->incarnation);
+    if (state_ && state.incarnation.isOtherRunThan(state_->incarnation)) {
+        log()->info("Engine restarted incarnation={} before={}", *state.incarnation.startedAtMs(), *state_->incarnation.startedAtMs());
         areHeldExpertsKnown_ = false;
-        lastCounts_.reset();
-        newCounts_.clear();
+        countDifferences_.reset();
     }
+    const StatedIncarnation latest = state_ ? StatedIncarnation::laterOf(state.incarnation, state_->incarnation) : state.incarnation;
     state_ = state;
+    state_->incarnation = latest;
     return true;
 }
 
@@ -252,6 +277,8 @@
     engine_.readCounts(guarded<Result<ExpertCounts>>([this](Result<ExpertCounts> counts) {
         if (counts) {
             handleCounts(*counts);
+        } else {
+            dropStatement("counts", counts.error().detail);
         }
         sendReport();
     }));
@@ -259,17 +286,12 @@
 
 void GroupTaskImpl::handleCounts(const ExpertCounts &counts)
 {
-    if (state_ && counts.incarnation < state_->incarnation) {
-        return; // Counts of the previous run.
-    }
-    const bool isContinued = lastCounts_ && lastCounts_->counts.size() == counts.counts.size() && lastCounts_->incarnation == counts.incarnation;
-    newCounts_.assign(counts.counts.size(), 0);
-    for (std::size_t index = 0; isContinued && index < counts.counts.size(); ++index) {
-        const std::uint64_t before = lastCounts_->counts[index];
-        // A lower count means that the engine has restarted.
-        newCounts_[index] = counts.counts[index] >= before ? counts.counts[index] - before : counts.counts[index];
+    const CountsRead read = countDifferences_.add(counts, state_ ? state_->incarnation : StatedIncarnation());
+    if (read == CountsRead::Dropped) {
+        dropStatement("counts", EarlierRun);
+    } else if (read == CountsRead::Restarted) {
+        log()->info("Counts are lower than before, the engine has restarted epoch={}", counts.epoch);
     }
-    lastCounts_ = counts;
 }
 
 void GroupTaskImpl::readHeldExpertsIfChanged()
@@ -279,7 +301,11 @@
         return;
     }
     engine_.readHeldExperts(guarded<Result<HeldExperts>>([this](Result<HeldExperts> held) {
-        if (held) {
+        if (!held) {
+            dropStatement("held experts", held.error().detail);
+        } else if (held->incarnation.isEarlierThan(state_->incarnation)) {
+            dropStatement("held experts", EarlierRun);
+        } else {
             heldExperts_ = std::move(*held);
             areHeldExpertsKnown_ = true;
             sendReport();
@@ -302,8 +328,7 @@
         reportedExperts_ = {.epoch = heldExperts_.epoch, .version = heldExperts_.version, .at = BootClock::now()};
     }
     if (areCountsDue()) {
-        report.counts = encodeCounts(newCounts_);
-        newCounts_.clear();
+        report.counts = encodeCounts(countDifferences_.take());
         countsSentAt_ = BootClock::now();
     }
     if (coordinator_ != nullptr) {
@@ -325,11 +350,12 @@
 /** Whether the next report contains counts. */
 bool GroupTaskImpl::areCountsDue() const
 {
-    const bool isAnyNew = std::any_of(newCounts_.begin(), newCounts_.end(), [](std::uint64_t count) { return count > 0; });
+    const std::vector<std::uint64_t> &counts = countDifferences_.latest();
+    const bool isAnyNew = std::any_of(counts.begin(), counts.end(), [](std::uint64_t count) { return count > 0; });
     if (!isAnyNew || (coordinator_ == nullptr && links_.empty())) {
         return false;
     }
-    const double seconds = static_cast<double>(newCounts_.size() * state_->size) / CountsPerSecond;
+    const double seconds = static_cast<double>(counts.size() * state_->size) / CountsPerSecond;
     return BootClock::now() >= countsSentAt_ + std::chrono::duration_cast<BootClock::duration>(std::chrono::duration<double>(seconds));
 }
 
--- a/libs/group/tests/grouptasktest.cpp
+++ b/libs/group/tests/grouptasktest.cpp
@@ -46,7 +46,8 @@
                 .mapVersion = engine.map,
                 .preparedVersion = engine.prepared,
                 .armed = engine.armed,
-                .heldStep = engine.held};
+                .heldStep = engine.held,
+                .incarnation = incarnation};
     }
 
     OrderOutcome order(std::uint32_t rank, const RankOrder &order)
@@ -105,6 +106,7 @@
 
     std::uint16_t hot = 0; ///< The expert with most choices.
     std::uint64_t epoch = 1;
+    StatedIncarnation incarnation; ///< Stated with the state, but not with the counts.
     std::uint32_t reportedSize = Ranks;
     int lostPrepares = 0; ///< Orders to prepare at rank 1 that get no answer and are not executed.
     std::optional<BootTime> firstLostAt;
@@ -307,6 +309,14 @@
     BOOST_TEST(holders >= 2U);
 }
 
+// Guards against a map that is never changed because counts that don't name their incarnation are taken for those of an earlier run.
+BOOST_AUTO_TEST_CASE(counts_withoutTheIncarnationOfTheState_mapIsChanged)
+{
+    group.incarnation = StatedIncarnation(1'796'259'161'000);
+    BOOST_TEST(runUntil([this] { return group.map() != 0; }));
+    BOOST_TEST(!group.isSplit());
+}
+
 // Guards against coordinators that fail one after another because a first epoch with number 0 is not recognised as new.
 BOOST_AUTO_TEST_CASE(group_openInEpochZero_mapIsChanged)
 {
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "base/statedincarnation.h"
 #include "routing/endpointavailability.h"
 #include "routing/firsteventlatency.h"
 #include "routing/loadshare.h"
@@ -30,7 +31,7 @@
     std::string dataCentre;
     std::uint32_t slots = 1; ///< Requests that it runs concurrently.
     bool isLeaving = false;
-    std::uint64_t incarnation = 0; ///< Start time in Unix milliseconds; 0: unknown. A higher value is a new run, to which no state of earlier runs applies.
+    StatedIncarnation incarnation{}; ///< No state of an earlier run applies to a later one.
     std::uint64_t listedAt = 0; ///< Version of the list at the entry's last change; 0: unknown.
 
     bool operator==(const EndpointRecord &) const = default;
@@ -257,7 +258,7 @@
     /** A run of an endpoint whose entry is missing from the list. */
     struct FormerEndpoint {
         std::string id;
-        std::uint64_t incarnation = 0;
+        StatedIncarnation incarnation;
         std::shared_ptr<EndpointStatements> stated;
     };
 
--- a/libs/routing/src/endpointsnapshot.cpp
+++ b/libs/routing/src/endpointsnapshot.cpp
@@ -12,6 +12,14 @@
 
 using nlohmann::json;
 
+// Sent for a run whose start is not known.
+constexpr std::uint64_t UnknownStart = 0;
+
+StatedIncarnation decodeIncarnation(std::uint64_t startedAtMs)
+{
+    return startedAtMs == UnknownStart ? StatedIncarnation() : StatedIncarnation(startedAtMs);
+}
+
 // Keys are short because a snapshot may contain 1,300 endpoints.
 json encodeRecord(const EndpointRecord &record)
 {
@@ -21,7 +29,7 @@
             {"d", record.dataCentre},
             {"n", record.slots},
             {"l", record.isLeaving},
-            {"b", record.incarnation},
+            {"b", record.incarnation.startedAtMs().value_or(UnknownStart)},
             {"w", record.listedAt}};
 }
 
@@ -33,7 +41,7 @@
             .dataCentre = record.at("d").get<std::string>(),
             .slots = record.at("n").get<std::uint32_t>(),
             .isLeaving = record.at("l").get<bool>(),
-            .incarnation = record.at("b").get<std::uint64_t>(),
+            .incarnation = decodeIncarnation(record.at("b").get<std::uint64_t>()),
             .listedAt = record.value("w", std::uint64_t{0})}; // Absent in snapshots from peers of an earlier version.
 }
 
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -57,12 +57,6 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-/** @return true if both start times are known and one is of an earlier run than other. */
-bool isEarlierRun(const EndpointRecord &one, const EndpointRecord &other)
-{
-    return one.incarnation != 0 && one.incarnation < other.incarnation;
-}
-
 struct BackoffRange {
     Duration initial = InitialBackoff;
     Duration maximum = MaxBackoff;
@@ -82,13 +76,13 @@
 void EndpointTable::put(const EndpointRecord &record)
 {
     const auto found = byId_.find(record.id);
-    if (found != byId_.end() && isEarlierRun(record, found->second->record)) {
+    if (found != byId_.end() && record.incarnation.isEarlierThan(found->second->record.incarnation)) {
         return;
     }
-    const bool isSameRun = found != byId_.end() && !isEarlierRun(found->second->record, record);
+    const bool isSameRun = found != byId_.end() && !found->second->record.incarnation.isEarlierThan(record.incarnation);
     if (isSameRun && found->second->record.service == record.service) {
         const EndpointPointer known = found->second;
-        const std::uint64_t incarnation = std::max(record.incarnation, known->record.incarnation);
+        const StatedIncarnation incarnation = StatedIncarnation::laterOf(record.incarnation, known->record.incarnation);
         removeFromAddress(known);
         known->record = record;
         known->record.incarnation = incarnation;
@@ -167,7 +161,7 @@
     }
     const FormerEndpoint former = std::move(*found);
     formerEndpoints_.erase(found);
-    if (former.incarnation == 0 || former.incarnation >= record.incarnation) {
+    if (!former.incarnation.isEarlierThan(record.incarnation)) {
         return former.stated;
     }
     auto stated = std::make_shared<EndpointStatements>();
--- a/libs/routing/tests/endpointtabletest.cpp
+++ b/libs/routing/tests/endpointtabletest.cpp
@@ -53,13 +53,13 @@
 // Guards against a restarted endpoint getting no requests because of failures of its earlier run.
 BOOST_AUTO_TEST_CASE(endpoint_restartsUnderItsId_hasFreshState)
 {
-    EndpointRecord record{.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .incarnation = 1000};
+    EndpointRecord record{.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .incarnation = StatedIncarnation(1000)};
     table.put(record);
     const EndpointPointer before = table.find("a");
     before->inFlight = 4;
     before->groupAvoidUntil = Now + 1s;
     EndpointTable::onAttemptEnded(*before, AttemptOutcome::Failed, Now);
-    record.incarnation = 2000;
+    record.incarnation = StatedIncarnation(2000);
     table.put(record);
     const EndpointPointer after = table.find("a");
     BOOST_TEST(after != before);
@@ -73,23 +73,23 @@
 
 BOOST_AUTO_TEST_CASE(endpoint_outdatedRecordOfEarlierRun_isIgnored)
 {
-    EndpointRecord record{.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .incarnation = 2000};
+    EndpointRecord record{.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .incarnation = StatedIncarnation(2000)};
     table.put(record);
-    record.incarnation = 1000;
+    record.incarnation = StatedIncarnation(1000);
     record.isLeaving = true;
     table.put(record);
     BOOST_TEST(!table.find("a")->record.isLeaving);
-    BOOST_TEST(table.find("a")->record.incarnation == 2000U);
+    BOOST_TEST((table.find("a")->record.incarnation == StatedIncarnation(2000)));
 }
 
 BOOST_AUTO_TEST_CASE(endpoint_recordWithoutIncarnation_updatesTheSameRun)
 {
-    table.put({.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .incarnation = 5});
+    table.put({.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .incarnation = StatedIncarnation(5)});
     const EndpointPointer before = table.find("a");
     table.put({.id = "a", .service = "s", .address = "10.0.0.1:80", .dataCentre = "north", .slots = 4, .isLeaving = true});
     BOOST_TEST(table.find("a") == before);
     BOOST_TEST(before->record.isLeaving);
-    BOOST_TEST(before->record.incarnation == 5U);
+    BOOST_TEST((before->record.incarnation == StatedIncarnation(5)));
 }
 
 BOOST_AUTO_TEST_CASE(endpoint_hasOwnRequestsInFlight_isNotChosen)
--- a/libs/routing/tests/knowledgetest.cpp
+++ b/libs/routing/tests/knowledgetest.cpp
@@ -136,7 +136,7 @@
 
 EndpointRecord recordOf(const std::string &id)
 {
-    return {.id = id, .service = "s", .address = "10.0.0.9:80", .dataCentre = "north", .slots = 12, .isLeaving = false, .incarnation = 0};
+    return {.id = id, .service = "s", .address = "10.0.0.9:80", .dataCentre = "north", .slots = 12, .isLeaving = false, .incarnation = {}};
 }
 
 struct EndpointRosterFixture {
@@ -262,7 +262,7 @@
 {
     EndpointRecord leaving = recordOf("a");
     leaving.isLeaving = true;
-    leaving.incarnation = 1'800'000'000'000;
+    leaving.incarnation = StatedIncarnation(1'800'000'000'000);
     leaving.listedAt = 12;
     const auto decoded = decodeSnapshot(encodeSnapshot({.version = 77, .endpoints = {leaving, recordOf("b")}}));
     BOOST_REQUIRE(decoded.has_value());
