--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -81,6 +81,7 @@
     , demand_(options.demandHalfLife)
     , switches_(metrics.counter("magnolia_group_switches_total", "Changes of the expert map that were begun."))
     , copies_(metrics.counter("magnolia_group_copies_total", "Experts that ranks were told to take on."))
+    , withoutPlan_(metrics.counter("magnolia_group_without_plan_total", "Times that a coordinator logged why it planned no map for seconds."))
     , timer_(loop, [this] { update(); })
     , dropTimer_(loop, [this] { std::erase_if(members_, [this](const auto &known) { return otherGroupMembers_.contains(known.first); }); })
 {
@@ -278,17 +279,14 @@
     const BootTime now = BootClock::now();
     queryUnresponsiveEngines(now);
     applyPredecessorProof(now);
-    const bool isMapKnown = currentMap().has_value();
+    currentMap();
     for (const AddressedOrder &addressed : switch_.takeDueOrders(now)) {
         const bool isRelease = addressed.order.kind == RankOrderKind::Release;
         if (!isRelease || accessPolicy_.mayReleasePass(now)) {
             dispatchOrder(addressed);
         }
     }
-    if (isMapKnown && switch_.canBegin() && now - plannedAt_ >= options_.planInterval) {
-        plannedAt_ = now;
-        planSwitch();
-    }
+    reviewPlanning(now);
     if (switch_.phase() != loggedPhase_) {
         loggedPhase_ = switch_.phase();
         log()->info("Phase={} version={} epoch={} last_step={}", toString(loggedPhase_), switch_.version(), switch_.epoch(), switch_.lastStep());
@@ -484,24 +482,49 @@
     return paces;
 }
 
-void Coordinator::planSwitch()
+/** Plans a switch if none is in progress. Logs why there is none for long. */
+void Coordinator::reviewPlanning(BootTime now)
 {
-    const auto &current = currentMap();
-    if (!current || current->empty() || demand_.isEmpty()) {
+    const bool isSwitching = switch_.phase() != MapSwitch::Phase::Unknown && !switch_.isIdle();
+    if (isSwitching || now - plannedAt_ < options_.planInterval) {
         return;
     }
+    const auto obstacle = planSwitch(now);
+    if (!obstacle) {
+        planMonitor_.onProgress();
+    } else if (planMonitor_.onObstacle(*obstacle, now)) {
+        withoutPlan_.add();
+        const auto since = std::chrono::duration_cast<Duration>(now - *planMonitor_.withoutPlanSince());
+        log()->info("No map planned reason={} for_ms={} epoch={} phase={}", toString(*obstacle), since.count(), switch_.epoch(), toString(switch_.phase()));
+    }
+}
+
+/** @return why no switch was begun; nothing if one was. */
+std::optional<PlanObstacle> Coordinator::planSwitch(BootTime now)
+{
+    if (!switch_.canBegin()) {
+        return PlanObstacle::MissingRanks;
+    }
+    const auto &current = currentMap();
+    if (!current || current->empty()) {
+        return PlanObstacle::NoWholeMap;
+    }
+    plannedAt_ = now;
+    if (demand_.isEmpty()) {
+        return PlanObstacle::NoDemand;
+    }
     const auto demand = demand_.shares(current->size());
     const auto paces = rankPaces();
     if (!policy_.needsChange(ReplicaPlanner::load(*current, demand, paces) / static_cast<double>(current->size()))) {
-        return;
+        return PlanObstacle::EvenEnough;
     }
     auto plan = planner_.plan(*current, demand, paces);
     if (!plan) {
-        return;
+        return PlanObstacle::NoGain;
     }
     switches_.add();
     copies_.add(static_cast<double>(plan->copies));
-    switch_.begin(std::move(plan->map), *current, BootClock::now());
+    switch_.begin(std::move(plan->map), *current, now);
     log()->info("Map planned version={} copies={} load_before={:.3f} load_after={:.3f} sets={} slowest_pace={:.2f} pass_ms={:.0f}",
                 switch_.version(),
                 plan->copies,
@@ -510,6 +533,7 @@
                 current->size(),
                 paces.empty() ? 1.0 : *std::max_element(paces.begin(), paces.end()),
                 policy_.passTime().count());
+    return std::nullopt;
 }
 
 } // namespace magnolia::group
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -16,6 +16,7 @@
 #include "mapcodec.h"
 #include "mapencoder.h"
 #include "observe/metrics.h"
+#include "planobstacle.h"
 
 #include <deque>
 #include <functional>
@@ -101,7 +102,8 @@
     void queryHeldExperts(const std::string &id, std::uint32_t rank);
     bool isSwitchInProgress() const;
     void addDemand(const wire::RankReport &report);
-    void planSwitch();
+    std::optional<PlanObstacle> planSwitch(BootTime now);
+    void reviewPlanning(BootTime now);
     void sendHeartbeats();
     void dispatchOrder(const AddressedOrder &addressed);
     void enqueueBulk(const std::string &member, const RankOrder &order);
@@ -142,12 +144,14 @@
     std::optional<ExpertMap> currentMap_; ///< Assembled by assembler_.
     bool isSuperseded_ = false;
     ExpertDemand demand_;
-    BootTime plannedAt_;
+    BootTime plannedAt_; ///< When a plan was last computed.
+    PlanMonitor planMonitor_;
     BootTime heartbeatAt_;
     BootTime refreshedAt_;
     MapSwitch::Phase loggedPhase_ = MapSwitch::Phase::Unknown;
     observe::Counter &switches_;
     observe::Counter &copies_;
+    observe::Counter &withoutPlan_;
     http::Timer timer_;
     http::Timer dropTimer_; ///< Closes links to agents of other groups outside of their own callbacks.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
