--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -5,6 +5,7 @@
 #include "base/random.h"
 #include "base/statedincarnation.h"
 #include "routing/endpointavailability.h"
+#include "routing/evacuations.h"
 #include "routing/firsteventlatency.h"
 #include "routing/loadshare.h"
 #include "routing/ratelimitshare.h"
@@ -54,6 +55,7 @@
 struct Endpoint {
     EndpointRecord record;
     bool isRemoved = false; ///< It was removed from the table; holders of the pointer must not dispatch to it.
+    bool isEvacuated = false; ///< An operator asks that its data centre gets no requests.
     std::uint32_t inFlight = 0; ///< Attempts of this entry in progress there.
     std::uint32_t unstartedStreams = 0; ///< Streams among inFlight that had no first event yet.
     std::uint32_t suspectRequests = 0; ///< Requests among inFlight for which there are crash reports.
@@ -76,7 +78,7 @@
 
     bool acceptsRequests() const
     {
-        return !record.isLeaving && !stated->availability.isLeaving() && !isRemoved;
+        return !record.isLeaving && !stated->availability.isLeaving() && !isRemoved && !isEvacuated;
     }
 
     /** @return since when it has been silent while having work; meaningful only with a request in flight there. */
@@ -115,6 +117,7 @@
  * - An unresponsive endpoint is the last choice but for one whose address another endpoint has.
  * - An endpoint that states a rate limit is chosen only within this entry's share of it, and one that leaves or asked for rest is not chosen at all, even if
  *   there is no other. What it stated holds until a later run of it begins, also while its entry is missing from the list.
+ * - An endpoint of an evacuated data centre is not chosen at all either.
  * - The number of streams per endpoint that wait for their first event is bounded.
  *
  * Lives as long as its entry's task. Not thread-safe.
@@ -160,6 +163,16 @@
     void put(const EndpointRecord &record);
     void remove(std::string_view id);
 
+    /** Replaces the evacuations in force. @return the endpoints that accept no requests from now on because of them. */
+    std::vector<EndpointPointer> setEvacuations(Evacuations evacuations);
+    const Evacuations &evacuations() const
+    {
+        return evacuations_;
+    }
+
+    /** Whether endpoints of the service are evacuated and no other accepts requests. */
+    bool isEvacuated(std::string_view service) const;
+
     /** @return null if no endpoint of the service accepts requests now, or all of them are excluded. */
     EndpointPointer choose(const ChoiceRequest &request, BootTime now, Random &random) const;
 
@@ -181,7 +194,7 @@
         return byId_.size();
     }
 
-    /** @return the requests that all endpoints of a service run concurrently; without those that leave or rest. */
+    /** @return the requests that all endpoints of a service run concurrently; without those that leave, rest or are evacuated. */
     std::size_t slotsOf(std::string_view service, BootTime now) const;
 
     /** An endpoint rejected a request because a peer of its group is down. Marks the whole group as avoided. */
@@ -278,6 +291,7 @@
 
     Options options_;
     std::size_t instances_ = 1;
+    Evacuations evacuations_;
     TextMap<EndpointPointer> byId_;
     TextMap<std::vector<EndpointPointer>> byService_;
     TextMap<std::vector<EndpointPointer>> byAddress_;
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -86,12 +86,14 @@
         removeFromAddress(known);
         known->record = record;
         known->record.incarnation = incarnation;
+        known->isEvacuated = evacuations_.contains(record.dataCentre);
         addToAddress(known);
         return;
     }
     remove(record.id);
     auto endpoint = std::make_shared<Endpoint>();
     endpoint->record = record;
+    endpoint->isEvacuated = evacuations_.contains(record.dataCentre);
     endpoint->stated = takeStatements(record);
     byId_.emplace(record.id, endpoint);
     byService_[record.service].push_back(endpoint);
@@ -170,6 +172,30 @@
     return stated;
 }
 
+std::vector<EndpointPointer> EndpointTable::setEvacuations(Evacuations evacuations)
+{
+    evacuations_ = std::move(evacuations);
+    std::vector<EndpointPointer> evacuated;
+    for (const auto &[id, endpoint] : byId_) {
+        const bool wasEvacuated = std::exchange(endpoint->isEvacuated, evacuations_.contains(endpoint->record.dataCentre));
+        if (endpoint->isEvacuated && !wasEvacuated) {
+            evacuated.push_back(endpoint);
+        }
+    }
+    return evacuated;
+}
+
+bool EndpointTable::isEvacuated(std::string_view service) const
+{
+    if (evacuations_.dataCentres.empty()) {
+        return false;
+    }
+    const auto all = endpointsOf(service);
+    const auto accepts = [](const EndpointPointer &endpoint) { return endpoint->acceptsRequests(); };
+    const auto isEvacuatedOne = [](const EndpointPointer &endpoint) { return endpoint->isEvacuated; };
+    return std::none_of(all.begin(), all.end(), accepts) && std::any_of(all.begin(), all.end(), isEvacuatedOne);
+}
+
 EndpointPointer EndpointTable::find(std::string_view id) const
 {
     const auto found = byId_.find(id);
