forward: nothing is sent to evacuated data centres

Requests that wait or are queued choose again at once, attempts whose connection is not established are withdrawn, idle connections are closed, and a service of which everything is evacuated is rejected at once with a cause, a Retry-After and a counter of its own. Requests in progress end whole.

--- a/libs/forward/include/forward/forwardtask.h
+++ b/libs/forward/include/forward/forwardtask.h
@@ -8,6 +8,7 @@
 #include "observe/metrics.h"
 #include "observe/trace.h"
 #include "routing/endpointtable.h"
+#include "routing/evacuations.h"
 #include "routing/freshnessproof.h"
 #include "routing/quarantine.h"
 #include "routing/retryallowance.h"
@@ -69,6 +70,9 @@
     virtual void putEndpoint(const routing::EndpointRecord &record) = 0;
     virtual void removeEndpoint(std::string_view id) = 0;
 
+    /** Replaces the evacuations in force. Requests in progress in an evacuated data centre are not cut off. */
+    virtual void putEvacuations(const routing::Evacuations &evacuations) = 0;
+
     /** @param sharing receives this entry's own crash reports. Reports of other entries arrive by the two calls below. */
     virtual void setCrashReportPublisher(CrashReportPublisher sharing) = 0;
     virtual void putCrashReport(const routing::CrashReport &report) = 0;
--- a/libs/forward/src/forwardcontext.h
+++ b/libs/forward/src/forwardcontext.h
@@ -99,10 +99,19 @@
         const std::string name(service);
         SlotQueue::Service capacity{.hasOpening = [this, name] { return endpoints.canAdmitStream(name, BootClock::now(), random); },
                                     .slots = [this, name] { return endpoints.slotsOf(name, BootClock::now()); },
-                                    .instances = [this, name] { return endpoints.effectiveInstances(name, BootClock::now()); }};
+                                    .instances = [this, name] { return endpoints.effectiveInstances(name, BootClock::now()); },
+                                    .isEvacuated = [this, name] { return endpoints.isEvacuated(name); }};
         return *slotQueues.emplace(name, std::make_unique<SlotQueue>(loop, std::move(capacity))).first->second;
     }
 
+    /** Lets each service's queue admit streams on the loop's next turn, since endpoints may have changed. */
+    void scheduleAdmissions()
+    {
+        for (const auto &[service, queue] : slotQueues) {
+            queue->scheduleAdmission();
+        }
+    }
+
     void setInstanceCount(std::size_t instances)
     {
         options.retries.instances = instances;
--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -209,14 +209,15 @@
     if (!wait_.stop(RequestWait::For::Update) || endIfQuarantined()) {
         return;
     }
-    if (needsRetryBudget_ && !hasGroupRecovered() && BootClock::now() < wait_.until()) {
+    const bool isEvacuated = context_.endpoints.isEvacuated(service_);
+    if (needsRetryBudget_ && !isEvacuated && !hasGroupRecovered() && BootClock::now() < wait_.until()) {
         beginWaiting(wait_.until());
         return;
     }
     const bool isAdmitted = route_ != nullptr && !service_.empty();
     if (!isAdmitted) {
         admit();
-    } else if (isBacklog()) {
+    } else if (!isEvacuated && isBacklog()) {
         joinBacklog();
     } else {
         dispatchNext();
@@ -349,7 +350,7 @@
     }
     const BootTime now = BootClock::now();
     const bool isInTime = now < latestDispatch();
-    const bool mayMove = isInTime && isRepeatable() && attempts_.allowsAnother(route_->maxEndpoints);
+    const bool mayMove = isInTime && isRepeatable() && attempts_.allowsAnother(route_->maxEndpoints) && !context_.endpoints.isEvacuated(service_);
     if (mayMove && route_->kind == RouteKind::Stream && !context_.endpoints.canAdmitStream(service_, now, context_.random)) {
         return false; // It would only queue behind other requests there; checked again soon.
     }
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -91,6 +91,7 @@
     void endQuarantined(Duration retryAfter);
     bool hasRestingEndpoint(std::span<const std::string> excluded) const;
     bool waitForRestOrReject();
+    void endEvacuated();
     std::string_view reserveRetry();
     void logCancelledAttempt(std::string_view cause);
     void logFailedAttempt(std::string_view end, int status, std::string_view atFault, std::string_view decision);
--- a/libs/forward/src/forwardmetrics.h
+++ b/libs/forward/src/forwardmetrics.h
@@ -27,6 +27,9 @@
         , rests(metrics.counter("magnolia_forward_rests_total", "Times that an endpoint turned a request away and asked for rest."))
         , sentInRest(metrics.counter("magnolia_forward_sent_in_rest_total", "Requests sent to endpoints that had asked for rest until later."))
         , sentToLeaving(metrics.counter("magnolia_forward_sent_to_leaving_total", "Requests sent to endpoints that had stated that they leave."))
+        , sentToEvacuated(metrics.counter("magnolia_forward_sent_to_evacuated_total", "Requests sent to endpoints of evacuated data centres."))
+        , refusedEvacuated(metrics.counter("magnolia_forward_refused_evacuated_total", "Requests refused since all endpoints of their service are evacuated."))
+        , evacuatedDataCentres(metrics.gauge("magnolia_forward_evacuated_data_centres", "Data centres whose endpoints get no requests."))
         , livenessChecks(metrics.counter("magnolia_forward_liveness_checks_total", "Silent endpoints asked for a sign of life, each time."))
         , silentEndpoints(metrics.gauge("magnolia_forward_silent_endpoints", "Endpoints that gave no sign of life when last asked."))
         , callers(metrics.gauge("magnolia_forward_caller_connections", "Open connections of callers."))
@@ -53,6 +56,9 @@
     observe::Counter &rests;
     observe::Counter &sentInRest;
     observe::Counter &sentToLeaving;
+    observe::Counter &sentToEvacuated;
+    observe::Counter &refusedEvacuated;
+    observe::Gauge &evacuatedDataCentres;
     observe::Counter &livenessChecks;
     observe::Gauge &silentEndpoints;
     observe::Gauge &callers;
--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -11,8 +11,11 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <span>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace magnolia::forward
 {
@@ -49,6 +52,24 @@
     }
 };
 
+/** @param evacuated the endpoints that are evacuated since the change. */
+void logEvacuationChanges(const routing::Evacuations &before, const routing::Evacuations &after, std::span<const routing::EndpointPointer> evacuated)
+{
+    const auto age = std::chrono::duration_cast<Duration>(BootClock::now() - after.provedAt).count();
+    for (const std::string &dataCentre : after.dataCentres) {
+        if (!before.contains(dataCentre)) {
+            const auto isThere = [&](const routing::EndpointPointer &endpoint) { return endpoint->record.dataCentre == dataCentre; };
+            const auto endpoints = std::count_if(evacuated.begin(), evacuated.end(), isThere);
+            log()->info("Evacuation begins data_centre={} version={} age_ms={} endpoints={}", dataCentre, after.version, age, endpoints);
+        }
+    }
+    for (const std::string &dataCentre : before.dataCentres) {
+        if (!after.contains(dataCentre)) {
+            log()->info("Evacuation ends data_centre={} version={} age_ms={}", dataCentre, after.version, age);
+        }
+    }
+}
+
 class ForwardTaskImpl final : public ForwardTask
 {
 public:
@@ -70,6 +91,7 @@
     }
     void putEndpoint(const routing::EndpointRecord &record) override;
     void removeEndpoint(std::string_view id) override;
+    void putEvacuations(const routing::Evacuations &evacuations) override;
     void setCrashReportPublisher(CrashReportPublisher publisher) override
     {
         context_.crashTracker.setPublisher(std::move(publisher));
@@ -229,6 +251,19 @@
     context_.connections.closeAll(id);
 }
 
+void ForwardTaskImpl::putEvacuations(const routing::Evacuations &evacuations)
+{
+    const routing::Evacuations before = context_.endpoints.evacuations();
+    const std::vector<routing::EndpointPointer> evacuated = context_.endpoints.setEvacuations(evacuations);
+    for (const routing::EndpointPointer &endpoint : evacuated) {
+        context_.connections.closeAll(endpoint->record.id);
+    }
+    context_.metrics.evacuatedDataCentres.set(static_cast<double>(evacuations.dataCentres.size()));
+    logEvacuationChanges(before, evacuations, evacuated);
+    context_.notifyWaiters();
+    context_.scheduleAdmissions();
+}
+
 void ForwardTaskImpl::drain()
 {
     if (std::exchange(context_.isStopping, true)) {
--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -58,6 +58,10 @@
         dispatch(endpoint);
         return;
     }
+    if (context_.endpoints.isEvacuated(service_)) {
+        endEvacuated();
+        return;
+    }
     if (hasRestingEndpoint(attempts_.tried()) && waitForRestOrReject()) {
         return;
     }
@@ -68,6 +72,18 @@
     endUnsuccessfully(isFirst ? "no endpoint takes work" : "no other endpoint takes work", StatusBadGateway);
 }
 
+/** Ends the request because every endpoint that could run it is evacuated. */
+void ForwardedRequest::endEvacuated()
+{
+    constexpr std::string_view Cause = "the data centres of its endpoints are evacuated";
+    if (mayHaveRun_ || isStreaming_ || fallback_) {
+        endUnsuccessfully(Cause, StatusBadGateway);
+        return;
+    }
+    context_.metrics.refusedEvacuated.add();
+    reject(StatusUnavailable, RetryAfterEvacuated, Cause);
+}
+
 /** Whether a resting endpoint that is not excluded may be sent the request later. */
 bool ForwardedRequest::hasRestingEndpoint(std::span<const std::string> excluded) const
 {
@@ -151,7 +167,7 @@
     startTimer();
 }
 
-/** Counts a dispatch that contradicts what the endpoint has stated. */
+/** Counts a dispatch that contradicts what the endpoint has stated, or an evacuation. */
 void ForwardedRequest::countUnwantedDispatch(const routing::Endpoint &endpoint)
 {
     if (endpoint.stated->availability.isResting(BootClock::now())) {
@@ -160,6 +176,9 @@
     if (endpoint.stated->availability.isLeaving()) {
         context_.metrics.sentToLeaving.add();
     }
+    if (endpoint.isEvacuated) {
+        context_.metrics.sentToEvacuated.add();
+    }
 }
 
 std::optional<routing::Priority> ForwardedRequest::priority() const
--- a/libs/forward/src/retryafter.h
+++ b/libs/forward/src/retryafter.h
@@ -11,6 +11,8 @@
 constexpr Duration RetryAfterFull{1000}; ///< Streams last one to two seconds.
 /** A group that did not recover while its caller waited lacks a rank, which is restarted or replaced within some seconds. */
 constexpr Duration RetryAfterGroup{1800};
+/** Work in a data centre takes minutes at least; entries learn of its end within this time. */
+constexpr Duration RetryAfterEvacuated{5000};
 constexpr Duration RetryAfterStopping{50}; ///< Other instances accept the request at once.
 
 } // namespace magnolia::forward
--- a/libs/forward/src/slotqueue.h
+++ b/libs/forward/src/slotqueue.h
@@ -36,6 +36,7 @@
         std::function<bool()> hasOpening; ///< Whether an endpoint can accept another stream.
         std::function<std::size_t()> slots; ///< Requests that all endpoints run concurrently.
         std::function<std::size_t()> instances; ///< Entries with the load of this one that the endpoints could serve, see LoadShare.
+        std::function<bool()> isEvacuated; ///< Whether nothing can be dispatched because of evacuations; what is queued is then called to be rejected.
     };
 
     SlotQueue(event_base *loop, Service service) : timer_(loop, [this] { admitWaiting(); }), service_(std::move(service)) {}
@@ -125,8 +126,7 @@
     {
         const std::size_t before = inProgress_;
         // Requests that have ended meanwhile are still queued, and dispatch nothing.
-        while (waiting_.empty() && !backlog_.empty() && inProgress_ == before
-               && backlogGate_.canAdmit(backlogGate_.interval(service_.slots(), service_.instances()), now) && canAdmit(now)) {
+        while (waiting_.empty() && !backlog_.empty() && inProgress_ == before && isGateOpen(now) && canAdmit(now)) {
             takeFirst(backlog_)();
         }
         if (inProgress_ != before) {
@@ -134,9 +134,14 @@
         }
     }
 
+    bool isGateOpen(BootTime now) const
+    {
+        return service_.isEvacuated() || backlogGate_.canAdmit(backlogGate_.interval(service_.slots(), service_.instances()), now);
+    }
+
     bool canAdmit(BootTime now) const
     {
-        return limit_.canAdmit(inProgress_, service_.instances(), now) && service_.hasOpening();
+        return service_.isEvacuated() || (limit_.canAdmit(inProgress_, service_.instances(), now) && service_.hasOpening());
     }
 
     static Callback takeFirst(std::multimap<BootTime, Callback> &queue)
--- a/libs/forward/tests/endpointattempttest.cpp
+++ b/libs/forward/tests/endpointattempttest.cpp
@@ -88,6 +88,17 @@
     BOOST_TEST(receivedOnNext().empty());
 }
 
+// Guards against a request that reaches an endpoint long after its evacuation because its connection was still being established.
+BOOST_AUTO_TEST_CASE(connectionIsSlow_endpointIsEvacuatedMeanwhile_requestIsNotSent)
+{
+    startAttempt();
+    endpoint->isEvacuated = true;
+    receivedOnNext();
+    BOOST_TEST(runUntil([&] { return end.has_value(); }));
+    BOOST_TEST((end == AttemptEnd::Withdrawn));
+    BOOST_TEST(receivedOnNext().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::forward
--- a/libs/forward/tests/recordingtask.h
+++ b/libs/forward/tests/recordingtask.h
@@ -12,7 +12,7 @@
 namespace magnolia::forward
 {
 
-/** Records the updates that it receives as short texts: "routes 7", "endpoint a", "gone a". */
+/** Records the updates that it receives as short texts: "routes 7", "endpoint a", "gone a", "evacuated north". */
 class RecordingTask final : public forward::ForwardTask
 {
 public:
@@ -33,6 +33,15 @@
     {
         updates.push_back("gone " + std::string(id));
     }
+    void putEvacuations(const routing::Evacuations &evacuations) override
+    {
+        std::string names;
+        for (const std::string &dataCentre : evacuations.dataCentres) {
+            names += " " + dataCentre;
+        }
+        updates.push_back("evacuated" + names);
+        evacuated = evacuations;
+    }
     void setCrashReportPublisher(CrashReportPublisher sharing) override
     {
         crashSharing = std::move(sharing);
@@ -62,6 +71,7 @@
     }
 
     std::vector<std::string> updates;
+    routing::Evacuations evacuated; ///< The last ones received.
     int confirmations = 0;
     CrashReportPublisher crashSharing;
     std::vector<routing::CrashReport> crashReports;
