--- a/libs/peers/src/freshnessexchange.cpp
+++ b/libs/peers/src/freshnessexchange.cpp
@@ -126,9 +126,10 @@
     }
 }
 
+/** Asks for later documents first: they restrict what is done by earlier ones, which must not take effect alone at the start. */
 void FreshnessExchange::sendQuestions(wire::LinkDialer &dialer) const
 {
-    for (std::size_t subject = 0; subject < documents_.size(); ++subject) {
+    for (std::size_t subject = documents_.size(); subject-- > 0;) {
         dialer.send(wire::ProofQuestion{
             .subject = static_cast<std::uint8_t>(subject), .version = documents_[subject].current().version, .askedAt = toWireTime(BootClock::now())});
     }
