routing: the rate of a cold endpoint is divided over a few entries, without messages

A cold endpoint takes few requests a second from all entries together. Some entries, the same by everybody's list of instances, hold turns for it and send evenly spaced requests; the table chooses it only in such a turn. What a registration, a start, an answer or a refused connection says of coldness is kept with the endpoint's statements.

Ruled out: an equal part for each entry (with many entries nearly each turn finds no request), random times as for stated limits.

--- a/libs/routing/include/routing/endpointsnapshot.h
+++ b/libs/routing/include/routing/endpointsnapshot.h
@@ -25,11 +25,11 @@
     std::vector<RetainedEndpoint> retained{}; ///< Endpoints retained by the sending instance; not contained in endpoints.
 };
 
-/** @return the snapshot as CBOR, about 70 bytes for each endpoint. */
-std::string encodeSnapshot(const EndpointSnapshot &snapshot);
+/** @return the snapshot as CBOR, about 70 bytes for each endpoint. Times travel as those left. */
+std::string encodeSnapshot(const EndpointSnapshot &snapshot, BootTime now = BootClock::now());
 
 /** @return BadInput if the bytes are not a valid snapshot. */
-Result<EndpointSnapshot> decodeSnapshot(std::string_view bytes);
+Result<EndpointSnapshot> decodeSnapshot(std::string_view bytes, BootTime now = BootClock::now());
 
 } // namespace magnolia::routing
 
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "base/statedincarnation.h"
+#include "routing/coldendpoints.h"
 #include "routing/endpointavailability.h"
 #include "routing/evacuations.h"
 #include "routing/firsteventlatency.h"
@@ -34,6 +35,7 @@
     bool isLeaving = false;
     StatedIncarnation incarnation{}; ///< No state of an earlier run applies to a later one.
     std::uint64_t listedAt = 0; ///< Version of the list at the entry's last change; 0: unknown.
+    BootTime coldUntil{}; ///< By its entry; the epoch: not cold.
 
     bool operator==(const EndpointRecord &) const = default;
 };
@@ -49,6 +51,7 @@
 struct EndpointStatements {
     RateLimitShare limit;
     EndpointAvailability availability;
+    ColdRateShare cold;
 };
 
 /** An endpoint and what this entry knows about it. */
@@ -118,6 +121,7 @@
  * - An endpoint that states a rate limit is chosen only within this entry's share of it, and one that leaves or asked for rest is not chosen at all, even if
  *   there is no other. What it stated holds until a later run of it begins, also while its entry is missing from the list.
  * - An endpoint of an evacuated data centre is not chosen at all either.
+ * - A cold endpoint is chosen only in this entry's turns, see ColdEndpoints.
  * - The number of streams per endpoint that wait for their first event is bounded.
  *
  * Lives as long as its entry's task. Not thread-safe.
@@ -132,6 +136,7 @@
 public:
     struct Options {
         std::string dataCentre{}; ///< This entry's data centre; endpoints in it are preferred at equal load.
+        std::optional<ColdBound> coldBound{}; ///< For requests to cold endpoints; nothing: no endpoint is ever cold.
     };
 
     struct ChoiceRequest {
@@ -179,12 +184,27 @@
     /** Sets the endpoint's rate limit for all entries together. @param perSecond nothing: no limit. @return true if the limit changed. */
     bool updateRateLimit(Endpoint &endpoint, std::optional<double> perSecond, BootTime now, Random &random) const;
 
+    ColdEndpoints &coldEndpoints()
+    {
+        return cold_;
+    }
+    const ColdEndpoints &coldEndpoints() const
+    {
+        return cold_;
+    }
+
     /** Whether the endpoint may be sent a request now, by its list entry and by all that it has stated. */
     bool mayDispatch(Endpoint &endpoint, BootTime now, Random &random) const;
 
-    /** @return when the first of the endpoints that rest now may be sent a request again; nothing if none rests. */
+    /** @return when the first of the endpoints that rest, or are cold without a turn for this entry, may be sent a request again; nothing if there is none. */
     std::optional<BootTime> nextRestEnd(const ChoiceRequest &request, BootTime now) const;
 
+    /** @return the mean time between this entry's turns for cold endpoints of the service; zero if it has none, or no endpoint is cold. */
+    BootClock::duration turnInterval(std::string_view service, BootTime now) const;
+
+    /** Whether an endpoint of the service is cold. */
+    bool hasColdEndpoint(std::string_view service, BootTime now) const;
+
     EndpointPointer find(std::string_view id) const;
 
     /** @return all known endpoints of a service, in no particular order. */
@@ -194,7 +214,8 @@
         return byId_.size();
     }
 
-    /** @return the requests that all endpoints of a service run concurrently; without those that leave, rest or are evacuated. */
+    /** @return the requests that all endpoints of a service run concurrently; without those that leave, rest or are evacuated, and for cold ones what they
+     * can take. */
     std::size_t slotsOf(std::string_view service, BootTime now) const;
 
     /** An endpoint rejected a request because a peer of its group is down. Marks the whole group as avoided. */
@@ -290,6 +311,7 @@
     void markReplaced(std::string_view address);
 
     Options options_;
+    ColdEndpoints cold_;
     std::size_t instances_ = 1;
     Evacuations evacuations_;
     TextMap<EndpointPointer> byId_;
--- a/libs/routing/include/routing/routingconfig.h
+++ b/libs/routing/include/routing/routingconfig.h
@@ -71,11 +71,23 @@
     Duration formingTime{0}; ///< Time from a rank's return until its group serves again.
 };
 
+/** How endpoints of a service behave after a start. */
+struct ColdStart {
+    Duration time{0}; ///< For which an endpoint is cold after its start.
+    double perSecond = 0; ///< Requests that a cold endpoint takes from all entries together; 0: endpoints are never cold.
+
+    bool isConfigured() const
+    {
+        return perSecond > 0;
+    }
+};
+
 struct Service {
     std::string name;
     std::uint32_t maxConnections = 0; ///< Maximum connections to one endpoint from all entries together.
     std::optional<StepModel> steps{}; ///< Set for model engines.
     ExpertLayout experts{};
+    ColdStart coldStart{};
 };
 
 /** Limits on the size and duration of callers' requests. */
--- a/libs/routing/src/endpointtable.cpp
+++ b/libs/routing/src/endpointtable.cpp
@@ -62,6 +62,11 @@
     Duration maximum = MaxBackoff;
 };
 
+ColdEndpoints::Subject coldSubject(const Endpoint &endpoint)
+{
+    return {.id = endpoint.record.id, .service = endpoint.record.service, .share = endpoint.stated->cold};
+}
+
 Duration backoffAfter(std::uint32_t failures, const BackoffRange &range = {})
 {
     constexpr std::uint32_t MaxDoublings = 4;
@@ -71,7 +76,7 @@
 
 } // namespace
 
-EndpointTable::EndpointTable(Options options) : options_(std::move(options)) {}
+EndpointTable::EndpointTable(Options options) : options_(std::move(options)), cold_(options_.coldBound) {}
 
 void EndpointTable::put(const EndpointRecord &record)
 {
@@ -213,14 +218,14 @@
     std::size_t slots = 0;
     for (const EndpointPointer &endpoint : endpointsOf(service)) {
         const bool isUsable = endpoint->acceptsRequests() && !endpoint->isReplaced && !endpoint->stated->availability.isResting(now);
-        slots += isUsable ? endpoint->record.slots : 0;
+        slots += isUsable ? cold_.usableSlots(service, endpoint->stated->cold, endpoint->record.slots, now) : 0;
     }
     return slots;
 }
 
 bool EndpointTable::mayDispatch(Endpoint &endpoint, BootTime now, Random &random) const
 {
-    if (!endpoint.acceptsRequests() || !endpoint.stated->availability.mayDispatch(now)) {
+    if (!endpoint.acceptsRequests() || !endpoint.stated->availability.mayDispatch(now) || !cold_.mayDispatch(coldSubject(endpoint), now)) {
         return false;
     }
     RateLimitShare &limit = endpoint.stated->limit;
@@ -231,7 +236,7 @@
 {
     std::optional<BootTime> earliest;
     for (const EndpointPointer &endpoint : endpointsOf(request.service)) {
-        const BootTime at = endpoint->stated->availability.nextDispatchAt();
+        const BootTime at = std::max(endpoint->stated->availability.nextDispatchAt(), cold_.nextDispatchAt(coldSubject(*endpoint), now));
         const bool isAwaited = endpoint->acceptsRequests() && !endpoint->isReplaced && at > now && !isExcluded(*endpoint, request.excluded);
         if (isAwaited && (!earliest || at < *earliest)) {
             earliest = at;
@@ -240,6 +245,23 @@
     return earliest;
 }
 
+BootClock::duration EndpointTable::turnInterval(std::string_view service, BootTime now) const
+{
+    double perSecond = 0;
+    for (const EndpointPointer &endpoint : endpointsOf(service)) {
+        const bool isCold = endpoint->acceptsRequests() && cold_.isCold(service, endpoint->stated->cold, now);
+        perSecond += isCold ? endpoint->stated->cold.turnsPerSecond() : 0;
+    }
+    const std::chrono::duration<double> interval(perSecond > 0 ? 1 / perSecond : 0);
+    return std::chrono::duration_cast<BootClock::duration>(interval);
+}
+
+bool EndpointTable::hasColdEndpoint(std::string_view service, BootTime now) const
+{
+    const auto all = endpointsOf(service);
+    return std::any_of(all.begin(), all.end(), [&](const EndpointPointer &endpoint) { return cold_.isCold(service, endpoint->stated->cold, now); });
+}
+
 std::size_t EndpointTable::effectiveInstances(std::string_view service, BootTime now) const
 {
     const auto activity = activity_.find(service);
@@ -359,6 +381,7 @@
 {
     endpoint.stated->limit.consume(effectiveInstances(endpoint.record.service, now), now, random);
     endpoint.stated->availability.onDispatch(now);
+    cold_.onDispatch(endpoint.record.service, endpoint.stated->cold, now);
     if (endpoint.groupAvoidUntil != BootTime()) {
         setGroupAvoidUntil(endpoint, now + GroupRetryInterval);
     }
@@ -423,7 +446,8 @@
     bool hasSaturated = false;
     bool hasFreeAvoided = false;
     for (const EndpointPointer &endpoint : endpointsOf(service)) {
-        if (!endpoint->acceptsRequests() || !endpoint->stated->availability.mayDispatch(now)) {
+        const bool isClosed = !endpoint->acceptsRequests() || cold_.isWithheld(coldSubject(*endpoint), now);
+        if (isClosed || !endpoint->stated->availability.mayDispatch(now)) {
             continue;
         }
         hasAccepting = true;
