--- a/libs/settings/include/settings/sections.h
+++ b/libs/settings/include/settings/sections.h
@@ -120,6 +120,13 @@
     Duration window{10000};
 };
 
+/** [cold]: how far the requests that a cold endpoint gets in any one second may exceed its service's rate, from all instances together. */
+struct ColdSettings {
+    bool isEnabled = false; ///< The section exists.
+    double overshoot = 1; ///< Times the rate.
+    double slack = 0; ///< Requests in a second besides.
+};
+
 /** [quarantine]: of requests under which endpoints end. */
 struct QuarantineSettings {
     std::size_t limit = 2; ///< Endpoints that have to end under a request, one after the other.
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -49,6 +49,7 @@
     EndpointsSettings endpoints;
     KeysSettings keys;
     RetriesSettings retries;
+    ColdSettings cold;
     QuarantineSettings quarantine;
     MetricsSettings metrics;
     GraceSettings grace;
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -169,6 +169,12 @@
     out.window = std::chrono::round<Duration>(std::chrono::duration<double>(windowSeconds));
 }
 
+void readSection(TableReader &reader, ColdSettings &out)
+{
+    reader.readNumber("overshoot", out.overshoot, {.least = 1, .most = 10});
+    reader.readNumber("slack", out.slack, {.least = 0, .most = 10'000});
+}
+
 void readSection(TableReader &reader, QuarantineSettings &out)
 {
     reader.readSize("limit", out.limit, {.least = 1, .most = 100});
@@ -264,6 +270,8 @@
     file.section("endpoints", out.endpoints);
     file.section("keys", out.keys);
     file.section("retries", out.retries);
+    out.cold.isEnabled = file.has("cold");
+    file.section("cold", out.cold);
     file.section("quarantine", out.quarantine);
     file.section("metrics", out.metrics);
     file.section("grace", out.grace);
--- a/libs/settings/tests/settingstest.cpp
+++ b/libs/settings/tests/settingstest.cpp
@@ -138,6 +138,8 @@
     BOOST_TEST(settings->keys.revocationBound.count() == 5000);
     BOOST_TEST(settings->keys.failClosed);
     BOOST_TEST(settings->retries.share == 0.2);
+    BOOST_TEST(settings->cold.isEnabled);
+    BOOST_TEST(settings->cold.overshoot == 1.5);
     BOOST_TEST(settings->retries.window.count() == 10000);
     BOOST_TEST(settings->quarantine.limit == 2U);
     BOOST_TEST(settings->quarantine.time.count() == 600000);
@@ -165,6 +167,8 @@
         {"[keys]\nfail_closed=1\n", "f.toml:14:13: 'keys.fail_closed' must be true or false"},
         {"[keys]\nrevocation_bound_ms=1\n", "f.toml:14:21: 'keys.revocation_bound_ms' must be a whole number from 500 to 3600000 milliseconds"},
         {"[retries]\nshare=nan\n", "f.toml:14:7: 'retries.share' must be a number from 0 to 10"},
+        {"[cold]\novershoot=0.9\n", "f.toml:14:11: 'cold.overshoot' must be a number from 1 to 10"},
+        {"[cold]\nslack=-1\n", "f.toml:14:7: 'cold.slack' must be a number from 0 to 10000"},
         {"[quarantine]\nlimit=0\n", "f.toml:14:7: 'quarantine.limit' must be a whole number from 1 to 100"},
         {"[quarantine]\ntime_s=0\n", "f.toml:14:8: 'quarantine.time_s' must be a number from 1 to 86400"},
         {"[retries]\nwindow_s='10'\n", "f.toml:14:10: 'retries.window_s' must be a number from 0.1 to 3600"},
