forward: endpoints of a data centre that is taken back are assumed to be cold

They had no requests meanwhile, so that nothing told the entries whether they became cold. The join of evacuation and cold endpoints: the end of an evacuation is passed on to ColdMonitor, before waiting requests are called.

--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -270,6 +270,11 @@
     }
     context_.metrics.evacuatedDataCentres.set(static_cast<double>(evacuations.dataCentres.size()));
     logEvacuationChanges(before, evacuations, evacuated);
+    for (const std::string &dataCentre : before.dataCentres) {
+        if (!evacuations.contains(dataCentre)) {
+            context_.coldMonitor.onDataCentreReturned(dataCentre);
+        }
+    }
     context_.notifyWaiters();
     context_.scheduleAdmissions();
 }
--- a/libs/forward/tests/coldendpointstest.cpp
+++ b/libs/forward/tests/coldendpointstest.cpp
@@ -154,6 +154,25 @@
     BOOST_TEST(answeredCallers("HTTP/1.1 200") > callers.size() / 8);
 }
 
+// Guards against a data centre being overrun after its evacuation, if its endpoints became cold unheard while they had no requests.
+BOOST_AUTO_TEST_CASE(dataCentre_evacuationEnds_getsTheRateOfColdEndpoints)
+{
+    addEndpoint("stayed", "north");
+    ScriptedEndpoint &returned = addEndpoint("returned", "south");
+    completeFirstList();
+    for (const auto &task : tasks) {
+        task->putEvacuations({.version = 1, .dataCentres = {"south"}});
+    }
+    runLoad(Duration(300));
+    BOOST_TEST(returned.arrivals.empty());
+    for (const auto &task : tasks) {
+        task->putEvacuations({.version = 2});
+    }
+    runLoad(Duration(2000));
+    BOOST_TEST(returned.maxArrivalsInSecond() <= MaxArrivalsInSecond);
+    BOOST_TEST(returned.arrivals.size() >= static_cast<std::size_t>(ColdPerSecond));
+}
+
 // Guards against what an endpoint says of itself in its answers being ignored.
 BOOST_AUTO_TEST_CASE(endpoint_becomesColdAtAnyMoment_countsFromItsAnswer)
 {
