group: agents report their counts at random intervals

Cause: the limit on counts makes each of 72 ranks report once in 0.78 s. All begin to count at the same moment, so that they reported together and the coordinator learnt nothing for up to 0.4 s in between: a shift of demand 0.03 s after a round of reports was planned for half a second later.

Change: the interval is drawn between half and one and a half times the limit's. When counts are due is decided in CountsSchedule, without a network.

Ruled out: offsets by rank would delay the first reports, from which the first map is planned.

--- a/libs/group/src/grouptask.cpp
+++ b/libs/group/src/grouptask.cpp
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "coordinator.h"
 #include "countdifferences.h"
+#include "countsschedule.h"
 #include "group/coordinatorterm.h"
 #include "groupcodec.h"
 #include "http/socketaddress.h"
@@ -23,10 +24,6 @@
 namespace
 {
 
-// Limit for the counts that all ranks together send to the coordinator. Requests are alike on all ranks, so in a large group each rank sends its counts less
-// often, and always the latest ones.
-constexpr double CountsPerSecond = 160'000;
-
 constexpr Duration ExpertsInterval{1000};
 
 // Agents try to replace a lost coordinator in turn, in the order of ranks after it. Each has this time to reach the other agents before the next one tries.
@@ -166,7 +163,7 @@
     BootTime coordinatorLastReceivedAt_;
     BootTime orderedAt_; ///< When the last order was sent to the engine.
     BootTime countsReadAt_;
-    BootTime countsSentAt_;
+    CountsSchedule countsSchedule_;
     const Duration claimJitter_; ///< Additional delay of this agent if it has the last turn.
     bool isClaiming_ = false;
     CoordinatorRow lastRow_;
@@ -329,7 +326,7 @@
     }
     if (areCountsDue()) {
         report.counts = encodeCounts(countDifferences_.take());
-        countsSentAt_ = BootClock::now();
+        countsSchedule_.onSent(random_, BootClock::now());
     }
     if (coordinator_ != nullptr) {
         coordinator_->setOwnRank(state_->rank);
@@ -355,8 +352,7 @@
     if (!isAnyNew || (coordinator_ == nullptr && links_.empty())) {
         return false;
     }
-    const double seconds = static_cast<double>(counts.size() * state_->size) / CountsPerSecond;
-    return BootClock::now() >= countsSentAt_ + std::chrono::duration_cast<BootClock::duration>(std::chrono::duration<double>(seconds));
+    return countsSchedule_.isDue(counts.size() * state_->size, BootClock::now());
 }
 
 void GroupTaskImpl::handleCommand(const wire::RankCommand &command)
