group: a steady estimate of demand, restarted when demand has shifted

Cause: demand counted half after 200 ms. In a group of 72 that covers some 27 reports of few requests each: the load of the map in force varied between 1.16 and 1.33 by this estimate where one of 500 ms had 1.16 to 1.23, so that maps were changed three to four times between two shifts for what was mostly noise. After a shift the same estimate was a mixture for 0.3 s, and the first map fitted neither.

Change: ExpertDemand keeps a steady estimate (500 ms) and a recent one (75 ms). The recent one replaces the steady one when they differ by clearly more than they usually do; the next plan is made at once then, without waiting for the interval.

Ruled out: a shorter half-life at all times (docs/DECISIONS.md, rD).

--- a/libs/group/include/group/grouptask.h
+++ b/libs/group/include/group/grouptask.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/failure.h"
 #include "group/engineport.h"
+#include "group/expertdemand.h"
 #include "observe/metrics.h"
 #include "wire/link.h"
 
@@ -26,7 +27,7 @@
     Duration coordinatorTimeout{700}; ///< If no heartbeat or order arrives for this long, another agent becomes the coordinator.
     /** The coordinator timeout of the agent whose rank holds a pass. The group makes no passes meanwhile, and the coordinator sends a heartbeat every 60 ms. */
     Duration heldCoordinatorTimeout{250};
-    Duration demandHalfLife{200}; ///< Age at which the weight of an expert's choice is one half.
+    ExpertDemand::Options demand{};
     Duration planInterval{100}; ///< Interval between two attempts to plan a better map.
     std::size_t expertsPerSet = 0; ///< Number of experts in each set.
     std::size_t maxExpertsPerRank = 0; ///< Experts that a rank can hold in each set; 0: taken from the layout in the store.
--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -78,7 +78,7 @@
                 .maxCopiesPerRank = copiesPerSwitch(options),
                 .minGain = options.minGain})
     , pacer_({.bytesPerSecond = options.interfaceBytesPerSecond * BulkFraction})
-    , demand_(options.demandHalfLife)
+    , demand_(options.demand)
     , switches_(metrics.counter("magnolia_group_switches_total", "Changes of the expert map that were begun."))
     , copies_(metrics.counter("magnolia_group_copies_total", "Experts that ranks were told to take on."))
     , withoutPlan_(metrics.counter("magnolia_group_without_plan_total", "Times that a coordinator logged why it planned no map for seconds."))
@@ -486,7 +486,8 @@
 void Coordinator::reviewPlanning(BootTime now)
 {
     const bool isSwitching = switch_.phase() != MapSwitch::Phase::Unknown && !switch_.isIdle();
-    if (isSwitching || now - plannedAt_ < options_.planInterval) {
+    const bool hasShifted = demand_.shiftedAt() > plannedAt_;
+    if (isSwitching || (now - plannedAt_ < options_.planInterval && !hasShifted)) {
         return;
     }
     const auto obstacle = planSwitch(now);
