group: a change of map is begun only if it matters to callers

Cause: any plan that lowered the load by 8% was carried out, whatever the passes took. On the two deployments with 72 ranks most changes were of that kind: 29 of 61 from a load of 1.25 to 1.12 at passes of 66 ms, where a pause may last 120. Each of them copies 85 experts on average and is in the way of the change that the next shift of demand needs.

Change: PassModel predicts the pass time under another load from the configured base time and share of experts, and the work learnt from measured passes. ChangePolicy begins a change only if it saves a tenth of what passes could still grow until the pause objective; near the objective any plan is carried out as before, and also without an objective. Each plan logs predicted_ms, gain_ms and copying_ms; magnolia_group_small_gains_total counts those not begun.

--- a/libs/group/include/group/changepolicy.h
+++ b/libs/group/include/group/changepolicy.h
@@ -2,6 +2,7 @@
 #define MAGNOLIA_GROUP_CHANGEPOLICY_H
 
 #include "base/clock.h"
+#include "group/passmodel.h"
 
 #include <algorithm>
 #include <chrono>
@@ -37,6 +38,8 @@
         double tolerancePerSecond = 1.5; ///< Additional load tolerated while passes are short, for each second of copy time beyond switchOverhead.
         /** Passes below this fraction of the pause objective are short. The first pass after a shift of demand takes about twice as long. */
         double shortPassFraction = 0.55;
+        /** Smallest gain that is worth a switch, as a fraction of the time that passes could still grow before they reach the pause objective. */
+        double minHeadroomFraction = 0.1;
     };
 
     explicit ChangePolicy(Options options) : options_(options) {}
@@ -64,6 +67,19 @@
         return load > options_.balancedLoad + (arePassesShort ? options_.tolerancePerSecond * blockedSeconds : 0);
     }
 
+    /**
+     * Whether a switch shortens passes by enough to matter to callers. While passes are far below the pause objective, a few milliseconds make no stream timely
+     * that would be late otherwise, yet copies have to be made and the next switch has to wait.
+     *
+     * @param before predicted pass time with the map in use.
+     * @param after the same with the new map.
+     */
+    bool isWorthwhile(PassModel::Milliseconds before, PassModel::Milliseconds after) const
+    {
+        const PassModel::Milliseconds headroom = std::max(options_.pauseObjective - before, PassModel::Milliseconds(0));
+        return options_.pauseObjective == Duration(0) || before - after >= headroom * options_.minHeadroomFraction;
+    }
+
     /** @return the exponentially smoothed pass time. */
     std::chrono::duration<double, std::milli> passTime() const
     {
--- a/libs/group/include/group/grouptask.h
+++ b/libs/group/include/group/grouptask.h
@@ -5,6 +5,7 @@
 #include "base/failure.h"
 #include "group/engineport.h"
 #include "group/expertdemand.h"
+#include "group/passmodel.h"
 #include "observe/metrics.h"
 #include "wire/link.h"
 
@@ -40,6 +41,7 @@
     Duration copyTimeBudget{100};
     double minGain = 0.08; ///< Smallest relative reduction of the load that is worth a switch.
     Duration pauseObjective{0}; ///< Longest pause that routes allow between two events of a stream; 0: no objective.
+    PassModel::Options passes{};
 };
 
 /**
--- a/libs/group/include/group/replicaplanner.h
+++ b/libs/group/include/group/replicaplanner.h
@@ -16,6 +16,7 @@
 struct ReplicaPlan {
     ExpertMap map;
     std::size_t copies = 0; ///< Total number of experts that ranks have to copy.
+    std::size_t mostCopiesOfRank = 0; ///< Copies of the rank that copies most; ranks copy in parallel.
     double loadBefore = 0; ///< Sum over sets of the most loaded rank's work; 1 for each set with an even spread.
     double loadAfter = 0;
 };
--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -73,6 +73,7 @@
     , accessPolicy_(DirectAccessPolicy::Options{})
     , startedAt_(BootClock::now())
     , policy_({.pauseObjective = options.pauseObjective, .copyTime = options.copyTime})
+    , passModel_(options.passes)
     , planner_({.maxExpertsPerRank = options.maxExpertsPerRank,
                 .maxCopiesPerSet = options.maxCopiesPerSet,
                 .maxCopiesPerRank = copiesPerSwitch(options),
@@ -81,6 +82,7 @@
     , demand_(options.demand)
     , switches_(metrics.counter("magnolia_group_switches_total", "Changes of the expert map that were begun."))
     , copies_(metrics.counter("magnolia_group_copies_total", "Experts that ranks were told to take on."))
+    , smallGains_(metrics.counter("magnolia_group_small_gains_total", "Maps that were planned but not begun because passes would hardly get shorter."))
     , withoutPlan_(metrics.counter("magnolia_group_without_plan_total", "Times that a coordinator logged why it planned no map for seconds."))
     , timer_(loop, [this] { update(); })
     , dropTimer_(loop, [this] { std::erase_if(members_, [this](const auto &known) { return otherGroupMembers_.contains(known.first); }); })
@@ -516,25 +518,41 @@
     }
     const auto demand = demand_.shares(current->size());
     const auto paces = rankPaces();
-    if (!policy_.needsChange(ReplicaPlanner::load(*current, demand, paces) / static_cast<double>(current->size()))) {
+    const double load = ReplicaPlanner::load(*current, demand, paces) / static_cast<double>(current->size());
+    passModel_.learn(policy_.passTime(), load);
+    if (!policy_.needsChange(load)) {
         return PlanObstacle::EvenEnough;
     }
     auto plan = planner_.plan(*current, demand, paces);
     if (!plan) {
         return PlanObstacle::NoGain;
     }
+    if (!policy_.isWorthwhile(passModel_.predict(load), passModel_.predict(plan->loadAfter / static_cast<double>(current->size())))) {
+        smallGains_.add();
+        return PlanObstacle::NoGain;
+    }
     switches_.add();
     copies_.add(static_cast<double>(plan->copies));
     switch_.begin(std::move(plan->map), *current, now);
-    log()->info("Map planned version={} copies={} load_before={:.3f} load_after={:.3f} sets={} slowest_pace={:.2f} pass_ms={:.0f}",
-                switch_.version(),
-                plan->copies,
-                plan->loadBefore,
-                plan->loadAfter,
-                current->size(),
-                paces.empty() ? 1.0 : *std::max_element(paces.begin(), paces.end()),
-                policy_.passTime().count());
+    logPlan(*plan, current->size(), paces.empty() ? 1.0 : *std::max_element(paces.begin(), paces.end()));
     return std::nullopt;
 }
 
+void Coordinator::logPlan(const ReplicaPlan &plan, std::size_t sets, double slowestPace) const
+{
+    const auto predicted = [&](double load) { return passModel_.predict(load / static_cast<double>(sets)).count(); };
+    log()->info("Map planned version={} copies={} load_before={:.3f} load_after={:.3f} sets={} slowest_pace={:.2f} pass_ms={:.0f} predicted_ms={:.1f} "
+                "gain_ms={:.1f} copying_ms={:.0f}",
+                switch_.version(),
+                plan.copies,
+                plan.loadBefore,
+                plan.loadAfter,
+                sets,
+                slowestPace,
+                policy_.passTime().count(),
+                predicted(plan.loadBefore),
+                predicted(plan.loadBefore) - predicted(plan.loadAfter),
+                PassModel::Milliseconds(options_.copyTime * static_cast<double>(plan.mostCopiesOfRank)).count());
+}
+
 } // namespace magnolia::group
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -104,6 +104,7 @@
     void addDemand(const wire::RankReport &report);
     std::optional<PlanObstacle> planSwitch(BootTime now);
     void reviewPlanning(BootTime now);
+    void logPlan(const ReplicaPlan &plan, std::size_t sets, double slowestPace) const;
     void sendHeartbeats();
     void dispatchOrder(const AddressedOrder &addressed);
     void enqueueBulk(const std::string &member, const RankOrder &order);
@@ -132,6 +133,7 @@
     BootTime startedAt_; ///< Start of this term.
     std::string ownEngine_; ///< Address of the engine of this agent; empty until the member list has been read.
     ChangePolicy policy_;
+    PassModel passModel_;
     ReplicaPlanner planner_;
     MapEncoder mapEncoder_;
     BulkPacer pacer_;
@@ -151,6 +153,7 @@
     MapSwitch::Phase loggedPhase_ = MapSwitch::Phase::Unknown;
     observe::Counter &switches_;
     observe::Counter &copies_;
+    observe::Counter &smallGains_;
     observe::Counter &withoutPlan_;
     http::Timer timer_;
     http::Timer dropTimer_; ///< Closes links to agents of other groups outside of their own callbacks.
--- a/libs/group/src/replicaplanner.cpp
+++ b/libs/group/src/replicaplanner.cpp
@@ -262,6 +262,7 @@
         if (change->to) {
             ++copies[*change->to];
             ++plan.copies;
+            plan.mostCopiesOfRank = std::max(plan.mostCopiesOfRank, copies[*change->to]);
         }
     }
     for (SetPlacement &set : sets) {
--- a/libs/group/tests/changepolicytest.cpp
+++ b/libs/group/tests/changepolicytest.cpp
@@ -77,6 +77,25 @@
     BOOST_TEST(policy.needsChange(1.2));
 }
 
+// Guards against changes of map that serve nobody better: while passes were far below the objective, maps were changed four times between two shifts of
+// demand, each time for a gain of three milliseconds and a hundred copies.
+BOOST_AUTO_TEST_CASE(passes_farBelowTheObjective_smallGainIsNotWorthwhile)
+{
+    BOOST_TEST(!policy.isWorthwhile(66ms, 63ms));
+    BOOST_TEST(policy.isWorthwhile(92ms, 66ms));
+}
+
+BOOST_AUTO_TEST_CASE(passes_aboutToReachTheObjective_smallGainIsWorthwhile)
+{
+    BOOST_TEST(policy.isWorthwhile(100ms, 97ms));
+    BOOST_TEST(policy.isWorthwhile(130ms, 129ms));
+}
+
+BOOST_AUTO_TEST_CASE(routes_withoutAnObjective_anyGainIsWorthwhile)
+{
+    BOOST_TEST(ChangePolicy({}).isWorthwhile(66ms, 65ms));
+}
+
 BOOST_AUTO_TEST_CASE(routes_withoutAnObjective_slightlyUnevenMapIsChanged)
 {
     policy = ChangePolicy({});
--- a/libs/routing/include/routing/routingconfig.h
+++ b/libs/routing/include/routing/routingconfig.h
@@ -68,6 +68,7 @@
     double expertMegabytes = 0;
     double linkMegabitsPerSecond = 0;
     double workShare = 0; ///< Fraction of the work per token that experts do, 0 to 1.
+    double basePassMs = 0; ///< Time of a pass regardless of the tokens in progress; 0: unknown.
     Duration formingTime{0}; ///< Time from a rank's return until its group serves again.
 };
 
