--- a/libs/group/tests/changepolicytest.cpp
+++ b/libs/group/tests/changepolicytest.cpp
@@ -77,8 +77,7 @@
     BOOST_TEST(policy.needsChange(1.2));
 }
 
-// Guards against changes of map that serve nobody better: while passes were far below the objective, maps were changed four times between two shifts of
-// demand, each time for a gain of three milliseconds and a hundred copies.
+// Guards against changes of map that serve nobody better while passes are far below the objective.
 BOOST_AUTO_TEST_CASE(passes_farBelowTheObjective_smallGainIsNotWorthwhile)
 {
     BOOST_TEST(!policy.isWorthwhile(66ms, 63ms));
