routing, forward: streams of one service begin, wait or are rejected by class of urgency

Cause: when a service's slots are taken, entries went on sending, and streams waited at endpoints; the limit by pauses fell seconds later, and then rejected whoever could wait for less time. Callers rejected all came back after one second.

Change: ClassAdmission, for services whose streams can have different priorities. A class leaves a part of the entry's share of the slots to more urgent ones; a slot that becomes free goes to the most urgent class, in it to the organisation admitted least lately; whose turn is predicted too late is rejected at once, with a booked time to return. One log line for each rejection.

--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -20,7 +20,6 @@
 
 // A stream waits for a slot for half of its latency objective; its first event takes about the other half.
 constexpr int ObjectiveShare = 2;
-constexpr routing::Priority DefaultPriority = 5; // What endpoints assume for a request without a priority.
 
 // A request waits for a change of the routes or endpoints for at most this long, and at most a third of the caller's
 // timeout, so that the caller can still try another instance.
@@ -30,6 +29,7 @@
 constexpr Duration OverdueRecheckInterval{100};
 
 constexpr Duration MaxReturnDelay{500};
+constexpr Duration MinReturnDelay{300}; // Callers state whole times at first; one that returns has waited at least this long.
 
 constexpr std::string_view TraceHeader = "traceparent"; // W3C trace context.
 
@@ -112,26 +112,100 @@
     slots_ = &context_.slotsOf(service_);
     const routing::Service *service = routes_->service(service_);
     stepModel_ = service != nullptr && service->steps ? &*service->steps : nullptr;
+    slots_->classes().setClasses(routes_->streamPrioritiesOf(service_));
 }
 
 /** Dispatches the request. A stream waits for a free slot first, as long as it can still meet its latency objective. */
 void ForwardedRequest::acquireSlot()
 {
     const BootTime now = BootClock::now();
+    if (route_->kind == RouteKind::Stream && slots_->classes().isEnabled()) {
+        acquireSlotByClass(now);
+        return;
+    }
     if (route_->kind != RouteKind::Stream || slots_->hasFreeSlot(now)) {
         dispatchNext();
         return;
     }
     wait_.begin(RequestWait::For::Slot, now, request_.receivedAt + route_->latencyObjective / ObjectiveShare);
-    slots_->enqueue(priority().value_or(DefaultPriority), now, slotCallback());
+    slots_->enqueue(priority().value_or(routing::DefaultPriority), now, slotCallback());
     startTimer();
 }
 
+/** Dispatches a stream, lets it wait or rejects it by its class of urgency. */
+void ForwardedRequest::acquireSlotByClass(BootTime now)
+{
+    using Verdict = routing::ClassAdmission::Verdict;
+    const BootTime until = request_.receivedAt + route_->latencyObjective / ObjectiveShare;
+    const auto decision = slots_->request({.stream = {.priority = priority().value_or(routing::DefaultPriority),
+                                                      .organisation = organisationName(),
+                                                      .isReturn = isReturn(),
+                                                      .since = request_.receivedAt,
+                                                      .until = until},
+                                           .onSlot = slotCallback(),
+                                           .onHopeless = hopelessCallback()},
+                                          now);
+    predictedWait_ = decision.predictedWait;
+    if (decision.verdict == Verdict::Admit) {
+        dispatchNext();
+    } else if (decision.verdict == Verdict::Reject) {
+        rejectByClass();
+    } else {
+        slotTicket_ = decision.ticket;
+        wait_.begin(RequestWait::For::Slot, now, until);
+        startTimer();
+    }
+}
+
+/** Tells the caller when a slot is expected to be free for its class. */
+void ForwardedRequest::rejectByClass()
+{
+    const BootTime now = BootClock::now();
+    const routing::Priority urgency = priority().value_or(routing::DefaultPriority);
+    const Duration retryAfter = slots_->classes().bookReturn(urgency, timeLeft(), now, context_.random);
+    context_.metrics.withoutSlot.add();
+    context_.log.logClassRejection({.requestId = requestId_,
+                                    .service = service_,
+                                    .organisation = organisationName(),
+                                    .priority = urgency,
+                                    .isReturn = isReturn(),
+                                    .predictedWait = predictedWait_,
+                                    .inProgress = slots_->inProgress(),
+                                    .bound = slots_->boundOf(urgency, now),
+                                    .utilisation = slots_->classes().utilisation(now),
+                                    .reportAge = slots_->classes().reportAge(now),
+                                    .retryAfter = retryAfter});
+    reject(StatusUnavailable, retryAfter, "its service has no slot in time for a request of this priority");
+}
+
+/** Whether the caller was rejected before: it states the time that is left of its route's. */
+bool ForwardedRequest::isReturn() const
+{
+    return route_->timeout.count() > 0 && callerDeadlines_.timeLimit() + MinReturnDelay <= route_->timeout;
+}
+
+std::string_view ForwardedRequest::organisationName() const
+{
+    return organisation_ == nullptr ? std::string_view() : std::string_view(organisation_->name);
+}
+
+SlotQueue::Callback ForwardedRequest::hopelessCallback()
+{
+    return [waiting = weak_from_this()] {
+        const auto self = waiting.lock();
+        if (self != nullptr && self->wait_.stop(RequestWait::For::Slot)) {
+            self->slotTicket_.reset();
+            self->rejectByClass();
+        }
+    };
+}
+
 SlotQueue::Callback ForwardedRequest::slotCallback()
 {
     return [waiting = weak_from_this()] {
         const auto self = waiting.lock();
         if (self != nullptr && self->wait_.stop(RequestWait::For::Slot)) {
+            self->slotTicket_.reset();
             self->slotWait_ = BootClock::now() - self->wait_.since();
             self->dispatchNext();
         }
@@ -296,6 +370,11 @@
         endOverdue(overdueCause());
         return;
     }
+    if (slotTicket_ && wait_.isOver(RequestWait::For::Slot, now)) {
+        slots_->cancel(*std::exchange(slotTicket_, std::nullopt));
+        rejectByClass();
+        return;
+    }
     if (wait_.isOver(RequestWait::For::Slot, now)) {
         context_.metrics.withoutSlot.add();
         reject(StatusUnavailable, RetryAfterFull, "its service has as many streams in progress, or yet to begin, as stay in time");
@@ -467,6 +546,9 @@
     writer_ = nullptr;
     wait_.cancel();
     timer_.stop();
+    if (slotTicket_) {
+        slots_->cancel(*std::exchange(slotTicket_, std::nullopt));
+    }
     spans_.end(outcome, status, service_, cause, outcome == "failed" || outcome == "cut");
     const BootTime now = BootClock::now();
     context_.metrics.whole.record(now - request_.receivedAt);
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -65,7 +65,12 @@
     void admit();
     void pickService();
     void acquireSlot();
+    void acquireSlotByClass(BootTime now);
+    void rejectByClass();
+    bool isReturn() const;
+    std::string_view organisationName() const;
     SlotQueue::Callback slotCallback();
+    SlotQueue::Callback hopelessCallback();
     bool waitForUpdate();
     bool waitForGroup(const routing::Endpoint &endpoint);
     bool waitForRest();
@@ -151,6 +156,8 @@
     bool isTrial_ = false; ///< It was allowed although something that it carries is quarantined, see routing::Quarantine.
     std::string service_;
     SlotQueue *slots_ = nullptr; ///< The slot queue of service_; null until the service is chosen.
+    std::optional<routing::ClassAdmission::Ticket> slotTicket_; ///< Set while it waits for a slot by class.
+    BootClock::duration predictedWait_{0}; ///< Until a slot is free for its class, as of its arrival.
     const routing::StepModel *stepModel_ = nullptr; ///< Step model of the service's engines, owned by routes_; null if the service has none.
     routing::CallerDeadlines callerDeadlines_;
     BootTime updateWaitEnds_; ///< Latest time to wait for a change of the routes or endpoints.
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -68,6 +68,7 @@
     context_.endpoints.onDataReceived(*endpoint_, lastReceivedAt_);
     if (const auto load = context_.statements.read(*endpoint_, {.status = head.status, .headers = head.headers}, lastReceivedAt_)) {
         slots_->limit().onLoadReport(*load, lastReceivedAt_);
+        slots_->classes().onLoadReport(*load, lastReceivedAt_);
     }
     if (!isTurnedAway(head.status) && head.status != StatusMisdirected) {
         endpoint_->stated->availability.onAnswer(sentAt_);
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -95,6 +95,26 @@
                 record.concurrentRequests);
 }
 
+void RequestLog::logClassRejection(const ClassRejectionRecord &record)
+{
+    if (!reserveLine()) {
+        return;
+    }
+    log()->info("No slot for its priority id={} service={} organisation={} priority={} return={} predicted_wait_ms={} in_progress={} bound={:.1f} "
+                "utilisation={:.2f} report_age_ms={} retry_after_ms={}",
+                record.requestId,
+                record.service,
+                record.organisation,
+                record.priority,
+                record.isReturn,
+                milliseconds(record.predictedWait),
+                record.inProgress,
+                record.bound,
+                record.utilisation.value_or(-1),
+                record.utilisation ? milliseconds(record.reportAge) : -1,
+                record.retryAfter.count());
+}
+
 void RequestLog::logRateLimit(std::string_view endpoint, std::optional<double> perSecond)
 {
     if (!reserveLine()) {
--- a/libs/forward/src/requestlog.h
+++ b/libs/forward/src/requestlog.h
@@ -2,6 +2,7 @@
 #define MAGNOLIA_FORWARD_REQUESTLOG_H
 
 #include "base/clock.h"
+#include "routing/routingconfig.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -67,6 +68,21 @@
     std::uint32_t concurrentRequests = 0; ///< Requests of this instance in progress at the endpoint, this one included.
 };
 
+/** A stream that was rejected because its service has too few slots for streams of its priority. */
+struct ClassRejectionRecord {
+    std::string_view requestId{};
+    std::string_view service{};
+    std::string_view organisation{};
+    routing::Priority priority = 0;
+    bool isReturn = false; ///< Its caller was rejected before.
+    BootClock::duration predictedWait{}; ///< Until a slot is free for it.
+    std::size_t inProgress = 0; ///< Streams of this instance.
+    double bound = 0; ///< Number of streams of this instance at which its priority is rejected.
+    std::optional<double> utilisation{}; ///< Of the slots of all endpoints, as reported.
+    BootClock::duration reportAge{}; ///< Since the last load report.
+    Duration retryAfter{};
+};
+
 /**
  * Writes one line for each ended request, failed attempt, cancelled attempt, change of a limit and statement of an endpoint.
  *
@@ -82,6 +98,8 @@
 
     void logCancelledAttempt(const CancelledAttemptRecord &record);
 
+    void logClassRejection(const ClassRejectionRecord &record);
+
     /** @param perSecond the new limit; nothing: the endpoint no longer states one. */
     void logRateLimit(std::string_view endpoint, std::optional<double> perSecond);
 
--- a/libs/forward/src/slotqueue.h
+++ b/libs/forward/src/slotqueue.h
@@ -4,12 +4,15 @@
 #include "base/clock.h"
 #include "http/timer.h"
 #include "routing/backloggate.h"
+#include "routing/classadmission.h"
 #include "routing/concurrencylimit.h"
 #include "routing/routingconfig.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <unordered_map>
 #include <utility>
 
 namespace magnolia::forward
@@ -41,6 +44,44 @@
 
     SlotQueue(event_base *loop, Service service) : timer_(loop, [this] { admitWaiting(); }), service_(std::move(service)) {}
 
+    /** A stream of a service whose streams differ in urgency, see ClassAdmission. */
+    struct ClassedStream {
+        routing::ClassAdmission::Stream stream;
+        Callback onSlot;
+        Callback onHopeless; ///< Called when its turn would come too late.
+    };
+
+    /** Decides by class of urgency whether a stream begins now. Used only if classes() is enabled. */
+    routing::ClassAdmission::Decision request(ClassedStream stream, BootTime now)
+    {
+        const auto decision = classes_.request(stream.stream, room(now), now);
+        if (decision.verdict == routing::ClassAdmission::Verdict::Wait) {
+            if (classed_.empty()) {
+                timer_.start(RecheckInterval);
+            }
+            classed_.emplace(decision.ticket, std::move(stream));
+        }
+        return decision;
+    }
+
+    /** Ends the wait of a stream. */
+    void cancel(routing::ClassAdmission::Ticket ticket)
+    {
+        classes_.cancel(ticket);
+        classed_.erase(ticket);
+    }
+
+    /** @return see ClassAdmission::boundOf(). */
+    double boundOf(routing::Priority priority, BootTime now) const
+    {
+        return classes_.boundOf(priority, room(now), now);
+    }
+
+    routing::ClassAdmission &classes()
+    {
+        return classes_;
+    }
+
     /** A slot is free and no stream is queued for it. */
     bool hasFreeSlot(BootTime now) const
     {
@@ -85,13 +126,14 @@
     void release()
     {
         --inProgress_;
+        classes_.onEnded(BootClock::now());
         scheduleAdmission();
     }
 
     /** Admits queued streams on the loop's next turn, e.g. since an endpoint can accept another one. */
     void scheduleAdmission()
     {
-        if (!waiting_.empty() || !backlog_.empty()) {
+        if (hasQueued()) {
             timer_.start(Duration(0)); // Callbacks must not run inside a call of the queue's user.
         }
     }
@@ -116,17 +158,55 @@
         while (!waiting_.empty() && canAdmit(BootClock::now())) {
             takeFirst(waiting_)();
         }
+        admitClassed();
         admitBacklog(BootClock::now());
-        if (!waiting_.empty() || !backlog_.empty()) {
+        if (hasQueued()) {
             timer_.start(RecheckInterval);
         }
     }
 
+    bool hasQueued() const
+    {
+        return !waiting_.empty() || !classed_.empty() || !backlog_.empty();
+    }
+
+    void admitClassed()
+    {
+        if (classed_.empty()) {
+            return;
+        }
+        while (const auto ticket = classes_.takeNext(room(BootClock::now()), BootClock::now())) {
+            callFor(*ticket, &ClassedStream::onSlot);
+        }
+        while (const auto ticket = classes_.takeHopeless(room(BootClock::now()), BootClock::now())) {
+            callFor(*ticket, &ClassedStream::onHopeless);
+        }
+    }
+
+    void callFor(routing::ClassAdmission::Ticket ticket, Callback ClassedStream::*callback)
+    {
+        const auto found = classed_.find(ticket);
+        if (found != classed_.end()) {
+            const ClassedStream stream = std::move(found->second);
+            classed_.erase(found);
+            (stream.*callback)();
+        }
+    }
+
+    routing::ClassAdmission::Room room(BootTime now) const
+    {
+        const std::size_t instances = std::max<std::size_t>(service_.instances(), 1);
+        return {.inProgress = inProgress_,
+                .slots = static_cast<double>(service_.slots()) / static_cast<double>(instances),
+                .limit = limit_.limit(instances, now),
+                .hasOpening = service_.hasOpening()};
+    }
+
     void admitBacklog(BootTime now)
     {
         const std::size_t before = inProgress_;
         // Requests that have ended meanwhile are still queued, and dispatch nothing.
-        while (waiting_.empty() && !backlog_.empty() && inProgress_ == before && isGateOpen(now) && canAdmit(now)) {
+        while (waiting_.empty() && classed_.empty() && !backlog_.empty() && inProgress_ == before && isGateOpen(now) && canAdmit(now)) {
             takeFirst(backlog_)();
         }
         if (inProgress_ != before) {
@@ -155,6 +235,8 @@
     Service service_;
     routing::ConcurrencyLimit limit_{{}};
     std::multimap<BootTime, Callback> waiting_; ///< By arrival time, adjusted for the priority.
+    routing::ClassAdmission classes_{{}};
+    std::unordered_map<routing::ClassAdmission::Ticket, ClassedStream> classed_; ///< Wait for a slot by class.
     std::multimap<BootTime, Callback> backlog_; ///< By arrival time.
     routing::BacklogGate backlogGate_{{}};
     std::size_t inProgress_ = 0;
--- a/libs/routing/include/routing/routetable.h
+++ b/libs/routing/include/routing/routetable.h
@@ -52,6 +52,9 @@
 
     const Service *service(std::string_view name) const;
 
+    /** @return which priorities streams to a service can have, by their routes and by the organisations. */
+    PrioritySet streamPrioritiesOf(std::string_view service) const;
+
     bool needsKeys() const
     {
         return !config_.organisations.empty();
@@ -70,6 +73,7 @@
     TextMap<TextMap<const Route *>> hosts_; ///< Keys: host, then path prefix.
     TextMap<const Organisation *> keys_;
     TextMap<const Service *> services_;
+    TextMap<PrioritySet> streamPriorities_; ///< By service.
 };
 
 /** Weighted choice of a target. @param point 0 to 1, drawn at random for each request. */
--- a/libs/routing/include/routing/routingconfig.h
+++ b/libs/routing/include/routing/routingconfig.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 
+#include <bitset>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -29,6 +30,9 @@
 /** 0 is the highest priority, LowestPriority the lowest. */
 using Priority = std::uint8_t;
 constexpr Priority LowestPriority = 9;
+constexpr Priority DefaultPriority = 5; ///< What endpoints assume for a request without a priority.
+
+using PrioritySet = std::bitset<LowestPriority + 1>;
 
 struct Route {
     std::string name;
--- a/libs/routing/src/routetable.cpp
+++ b/libs/routing/src/routetable.cpp
@@ -19,6 +19,27 @@
     return host.substr(0, isBracketed ? colon + 1 : colon);
 }
 
+/** @return the services to which streams can be sent, with the priorities of their routes and of the organisations. */
+TextMap<PrioritySet> streamPrioritiesOf(const RoutingConfig &config)
+{
+    PrioritySet ofOrganisations;
+    for (const Organisation &organisation : config.organisations) {
+        if (organisation.priority) {
+            ofOrganisations.set(*organisation.priority);
+        }
+    }
+    TextMap<PrioritySet> priorities;
+    for (const Route &route : config.routes) {
+        if (route.kind != RouteKind::Stream) {
+            continue;
+        }
+        for (const RouteTarget &target : route.targets) {
+            priorities[target.service] |= PrioritySet(ofOrganisations).set(route.priority.value_or(DefaultPriority));
+        }
+    }
+    return priorities;
+}
+
 } // namespace
 
 Duration shortestPauseObjective(const RoutingConfig &config, std::string_view service)
@@ -33,7 +54,7 @@
     return shortest;
 }
 
-RouteTable::RouteTable(RoutingConfig config) : config_(std::move(config))
+RouteTable::RouteTable(RoutingConfig config) : config_(std::move(config)), streamPriorities_(routing::streamPrioritiesOf(config_))
 {
     for (const Route &route : config_.routes) {
         hosts_[route.host].emplace(route.pathPrefix, &route);
@@ -78,6 +99,12 @@
     return found == services_.end() ? nullptr : found->second;
 }
 
+PrioritySet RouteTable::streamPrioritiesOf(std::string_view service) const
+{
+    const auto found = streamPriorities_.find(service);
+    return found == streamPriorities_.end() ? PrioritySet() : found->second;
+}
+
 const RouteTarget &pickTarget(const Route &route, double point)
 {
     double total = 0;
