forward: streams that wait by class are called when everything is evacuated

The join of evacuation and admission by class: what waits in a class is called at once, and rejected with the cause of the evacuation, as what waits otherwise.

--- a/libs/forward/src/slotqueue.h
+++ b/libs/forward/src/slotqueue.h
@@ -54,6 +54,9 @@
     /** Decides by class of urgency whether a stream begins now. Used only if classes() is enabled. */
     routing::ClassAdmission::Decision request(ClassedStream stream, BootTime now)
     {
+        if (service_.isEvacuated()) {
+            return {};
+        }
         const auto decision = classes_.request(stream.stream, room(now), now);
         if (decision.verdict == routing::ClassAdmission::Verdict::Wait) {
             if (classed_.empty()) {
@@ -175,6 +178,11 @@
         if (classed_.empty()) {
             return;
         }
+        while (service_.isEvacuated() && !classed_.empty()) {
+            const routing::ClassAdmission::Ticket ticket = classed_.begin()->first;
+            classes_.cancel(ticket);
+            callFor(ticket, &ClassedStream::onSlot);
+        }
         while (const auto ticket = classes_.takeNext(room(BootClock::now()), BootClock::now())) {
             callFor(*ticket, &ClassedStream::onSlot);
         }
