--- a/libs/forward/tests/coldendpointstest.cpp
+++ b/libs/forward/tests/coldendpointstest.cpp
@@ -120,11 +120,11 @@
 // Load: 80 requests a second, four and a half times what the returned endpoints take while they are cold; the other data centre takes the rest.
 BOOST_AUTO_TEST_CASE(dataCentre_returnsColdUnderLoad_getsItsRateAndNobodyIsRejected)
 {
-    addEndpoint("stayed", "north");
+    addEndpoint("stayed", "south");
     completeFirstList();
     runLoad(Duration(300));
     for (std::size_t number = 0; number < ReturnedEndpoints; ++number) {
-        addEndpoint("returned-" + std::to_string(number), "south");
+        addEndpoint("returned-" + std::to_string(number), "north"); // Where the entries are, so that they prefer these.
     }
     runLoad(ColdTime - Duration(200));
     for (std::size_t number = 1; number <= ReturnedEndpoints; ++number) {
