routing: classes of urgency only where routes of one service have different priorities

Change: organisations' priorities count only where the routes' differ. Test: streamPriorities_ofOrganisations_countOnlyWhereRoutesDiffer.

--- a/libs/routing/include/routing/routetable.h
+++ b/libs/routing/include/routing/routetable.h
@@ -52,7 +52,7 @@
 
     const Service *service(std::string_view name) const;
 
-    /** @return which priorities streams to a service can have, by their routes and by the organisations. */
+    /** @return which priorities streams to a service can have, by their routes and, if these differ, by the organisations. */
     PrioritySet streamPrioritiesOf(std::string_view service) const;
 
     bool needsKeys() const
--- a/libs/routing/src/routetable.cpp
+++ b/libs/routing/src/routetable.cpp
@@ -19,7 +19,7 @@
     return host.substr(0, isBracketed ? colon + 1 : colon);
 }
 
-/** @return the services to which streams can be sent, with the priorities of their routes and of the organisations. */
+/** @return the services to which streams can be sent, with the priorities of their routes and, if these differ, of the organisations. */
 TextMap<PrioritySet> streamPrioritiesOf(const RoutingConfig &config)
 {
     PrioritySet ofOrganisations;
@@ -34,7 +34,12 @@
             continue;
         }
         for (const RouteTarget &target : route.targets) {
-            priorities[target.service] |= PrioritySet(ofOrganisations).set(route.priority.value_or(DefaultPriority));
+            priorities[target.service].set(route.priority.value_or(DefaultPriority));
+        }
+    }
+    for (auto &[service, ofRoutes] : priorities) {
+        if (ofRoutes.count() > 1) {
+            ofRoutes |= ofOrganisations;
         }
     }
     return priorities;
--- a/libs/routing/tests/routetabletest.cpp
+++ b/libs/routing/tests/routetabletest.cpp
@@ -80,6 +80,22 @@
     BOOST_TEST(pickTarget(*route, 1).service == "two");
 }
 
+// Guards against services whose routes have one priority being admitted by class because an organisation has another.
+BOOST_AUTO_TEST_CASE(streamPriorities_ofOrganisations_countOnlyWhereRoutesDiffer)
+{
+    const auto stream = [](std::string service, Priority priority) {
+        return Route{
+            .name = "r", .host = "a.example", .pathPrefix = "/", .kind = RouteKind::Stream, .priority = priority, .targets = {{.service = std::move(service)}}};
+    };
+    const RouteTable priorities({.version = 1,
+                                 .routes = {stream("one", 1), stream("two", 1), stream("two", 2)},
+                                 .services = {},
+                                 .limits = {},
+                                 .organisations = {{.name = "o", .keys = {"k"}, .priority = 0}}});
+    BOOST_TEST(priorities.streamPrioritiesOf("one").count() == 1U);
+    BOOST_TEST(priorities.streamPrioritiesOf("two").count() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::routing
