group: a map is looked for only if it may be worthwhile

Cause: with the rule of gains, a map was planned each 100 ms and then rejected.

Change: before a map is looked for, the gain of the most even one is held against the same rule; after one was rejected the next is looked for after half a second, or at once after a shift of demand.

--- a/libs/group/include/group/changepolicy.h
+++ b/libs/group/include/group/changepolicy.h
@@ -80,6 +80,12 @@
         return options_.pauseObjective == Duration(0) || before - after >= headroom * options_.minHeadroomFraction;
     }
 
+    /** Whether the most even map that can be hoped for would be worthwhile. To find a map takes much longer than to decide this. */
+    bool mayBeWorthwhile(const PassModel &passes, double load) const
+    {
+        return isWorthwhile(passes.predict(load), passes.predict(options_.balancedLoad));
+    }
+
     /** @return the exponentially smoothed pass time. */
     std::chrono::duration<double, std::milli> passTime() const
     {
--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -40,6 +40,9 @@
 // Size of an order without its map, in bytes, including all headers.
 constexpr std::size_t MessageOverhead = 150;
 
+// To find a map takes the time in which orders and reports wait. A map that would be found now would hardly be better than the one just rejected.
+constexpr Duration SmallGainDelay{500};
+
 std::size_t copiesPerSwitch(const GroupOptions &options)
 {
     const double copies = std::chrono::duration<double>(options.copyTimeBudget) / options.copyTime;
@@ -488,7 +491,7 @@
 void Coordinator::reviewPlanning(BootTime now)
 {
     const bool isSwitching = switch_.phase() != MapSwitch::Phase::Unknown && !switch_.isIdle();
-    const bool hasShifted = demand_.shiftedAt() > plannedAt_;
+    const bool hasShifted = demand_.shiftedAt() > reviewedAt_;
     if (isSwitching || (now - plannedAt_ < options_.planInterval && !hasShifted)) {
         return;
     }
@@ -513,6 +516,7 @@
         return PlanObstacle::NoWholeMap;
     }
     plannedAt_ = now;
+    reviewedAt_ = now;
     if (demand_.isEmpty()) {
         return PlanObstacle::NoDemand;
     }
@@ -520,7 +524,7 @@
     const auto paces = rankPaces();
     const double load = ReplicaPlanner::load(*current, demand, paces) / static_cast<double>(current->size());
     passModel_.learn(policy_.passTime(), load);
-    if (!policy_.needsChange(load)) {
+    if (!policy_.needsChange(load) || !policy_.mayBeWorthwhile(passModel_, load)) {
         return PlanObstacle::EvenEnough;
     }
     auto plan = planner_.plan(*current, demand, paces);
@@ -529,6 +533,7 @@
     }
     if (!policy_.isWorthwhile(passModel_.predict(load), passModel_.predict(plan->loadAfter / static_cast<double>(current->size())))) {
         smallGains_.add();
+        plannedAt_ = now + SmallGainDelay;
         return PlanObstacle::NoGain;
     }
     switches_.add();
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -146,7 +146,8 @@
     std::optional<ExpertMap> currentMap_; ///< Assembled by assembler_.
     bool isSuperseded_ = false;
     ExpertDemand demand_;
-    BootTime plannedAt_; ///< When a plan was last computed.
+    BootTime plannedAt_; ///< The next plan is computed an interval after this, unless demand shifts.
+    BootTime reviewedAt_; ///< When it was last decided whether to change the map.
     PlanMonitor planMonitor_;
     BootTime heartbeatAt_;
     BootTime refreshedAt_;
--- a/libs/group/tests/changepolicytest.cpp
+++ b/libs/group/tests/changepolicytest.cpp
@@ -84,6 +84,15 @@
     BOOST_TEST(policy.isWorthwhile(92ms, 66ms));
 }
 
+// Guards against a coordinator that spends its time on maps which it then rejects.
+BOOST_AUTO_TEST_CASE(load_nearTheMostEven_noMapIsLookedFor)
+{
+    PassModel passes({.baseTime = 30ms, .expertShare = 0.85});
+    passes.learn(60ms, 1.12);
+    BOOST_TEST(!policy.mayBeWorthwhile(passes, 1.12));
+    BOOST_TEST(policy.mayBeWorthwhile(passes, 2.0));
+}
+
 BOOST_AUTO_TEST_CASE(passes_aboutToReachTheObjective_smallGainIsWorthwhile)
 {
     BOOST_TEST(policy.isWorthwhile(100ms, 97ms));
