--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -137,14 +137,14 @@
 {
     using Verdict = routing::ClassAdmission::Verdict;
     const BootTime until = request_.receivedAt + route_->latencyObjective / ObjectiveShare;
-    const auto decision = slots_->request({.stream = {.priority = priority().value_or(routing::DefaultPriority),
-                                                      .organisation = organisationName(),
-                                                      .isReturn = isReturn(),
-                                                      .since = request_.receivedAt,
-                                                      .until = until},
-                                           .onSlot = slotCallback(),
-                                           .onHopeless = hopelessCallback()},
-                                          now);
+    SlotQueue::Callback onSlot = slotCallback();
+    SlotQueue::Callback onHopeless = hopelessCallback();
+    const routing::ClassAdmission::Stream stream{.priority = priority().value_or(routing::DefaultPriority),
+                                                 .organisation = organisationName(),
+                                                 .isReturn = isReturn(),
+                                                 .since = request_.receivedAt,
+                                                 .until = until};
+    const auto decision = slots_->request({.stream = stream, .onSlot = std::move(onSlot), .onHopeless = std::move(onHopeless)}, now);
     predictedWait_ = decision.predictedWait;
     if (decision.verdict == Verdict::Admit) {
         dispatchNext();
