--- a/libs/forward/tests/evacuationtest.cpp
+++ b/libs/forward/tests/evacuationtest.cpp
@@ -18,9 +18,9 @@
 /** Evacuates data centres of an entry, and reads its metrics. Base is the fixture of the entry. */
 template<typename Base>
 struct EvacuationFixture : Base {
-    void evacuate(DataCentres dataCentres)
+    void evacuate(const DataCentres &dataCentres)
     {
-        this->task->putEvacuations({.version = ++version, .provedAt = BootClock::now(), .dataCentres = std::move(dataCentres)});
+        this->task->putEvacuations({.version = ++version, .provedAt = BootClock::now(), .dataCentres = dataCentres});
     }
 
     /** Moves the endpoint with this number from 1 on to another data centre than that of the fixture's endpoints. */
--- a/libs/group/tests/countsscheduletest.cpp
+++ b/libs/group/tests/countsscheduletest.cpp
@@ -66,7 +66,8 @@
 BOOST_AUTO_TEST_CASE(reports_ofAllRanks_keepWithinTheLimit)
 {
     reportsFor(3s);
-    const double perSecond = static_cast<double>(reportsFor(20s).size() * CountsOfGroup / Ranks) / 20.0;
+    constexpr std::size_t CountsOfReport = CountsOfGroup / Ranks;
+    const double perSecond = static_cast<double>(reportsFor(20s).size() * CountsOfReport) / 20.0;
     BOOST_TEST(perSecond < 160'000 * 1.1);
     BOOST_TEST(perSecond > 160'000 * 0.8);
 }
