--- a/libs/routing/tests/coldendpointstest.cpp
+++ b/libs/routing/tests/coldendpointstest.cpp
@@ -35,7 +35,7 @@
     EndpointPointer list(const EndpointRecord &record)
     {
         table.put(record);
-        const EndpointPointer endpoint = table.find(record.id);
+        EndpointPointer endpoint = table.find(record.id);
         source = table.coldEndpoints().onListed(
             {.service = endpoint->record.service, .coldUntil = record.coldUntil, .version = record.listedAt}, endpoint->stated->cold, now);
         return endpoint;
