--- a/libs/group/tests/countsscheduletest.cpp
+++ b/libs/group/tests/countsscheduletest.cpp
@@ -55,8 +55,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(CountsScheduleTest, CountsScheduleFixture)
 
-// Guards against a coordinator that learns nothing for 0.4 s: all ranks reported their counts at the same time and then were silent together, so a shift of
-// demand was noticed half a second late.
+// Guards against ranks that all report at the same time, so that a shift of demand in between is noticed late.
 BOOST_AUTO_TEST_CASE(ranks_beganTogether_reportsAreSpread)
 {
     reportsFor(3s);
--- a/libs/group/tests/expertdemandtest.cpp
+++ b/libs/group/tests/expertdemandtest.cpp
@@ -136,14 +136,14 @@
 
 BOOST_FIXTURE_TEST_SUITE(ExpertDemandOfLargeGroupTest, LargeGroupFixture)
 
-// Guards against changes of map for noise: demand was constant, but the estimate covered so few of the ranks that it varied by more than a change had to gain.
+// Guards against changes of map for noise in the estimate while demand is constant.
 BOOST_AUTO_TEST_CASE(demand_constant_noShiftIsFound)
 {
     reportFor(10s);
     BOOST_TEST(!demand.shiftedAt().has_value());
 }
 
-// Guards against an estimate that is never steady: with few choices the estimates differ more than by a shift of demand, all the time.
+// Guards against an estimate that is never steady because few choices differ as much as a shift of demand.
 BOOST_AUTO_TEST_CASE(choices_tooFewToCompare_noShiftIsFoundAfterAWhile)
 {
     choicesOfRequest = 100;
--- a/libs/group/tests/passmodeltest.cpp
+++ b/libs/group/tests/passmodeltest.cpp
@@ -36,8 +36,7 @@
     BOOST_TEST(model.predict(1.1).count() == passTime(1.1).count(), boost::test_tools::tolerance(1e-6));
 }
 
-// Guards against changes of map that come too late: while callers came faster and faster, the predicted passes lagged a second behind, and an uneven map
-// was kept as if passes were short.
+// Guards against changes of map that come too late while requests increase.
 BOOST_AUTO_TEST_CASE(requests_more_workIsLearntAtOnce)
 {
     model.learn(passTime(1.1), 1.1);
