forward: each decision on a retry is logged with what decided it

No line told how many instances an entry divides the retry budget by, how long its process has run, or what it has counted, so the hypotheses on retries beyond the budget could not be told apart. Retries were taken at three places; takeRetry() is now the only one, with a line for each, and the first denial of a request. The counter of retries left out those that were taken after a wait for a group, a rest or a taken address.

No decision changes. forward_test, endpoint_rest_test, endpoint_leaving_test and routing_test pass.

--- a/libs/forward/src/forwardcontext.h
+++ b/libs/forward/src/forwardcontext.h
@@ -123,6 +123,7 @@
 
     void setInstanceCount(std::size_t instances)
     {
+        metrics.instances.set(static_cast<double>(instances));
         options.retries.instances = instances;
         endpoints.setInstances(instances);
         for (auto &[service, allowance] : retryAllowances) {
--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -453,13 +453,12 @@
 /** Cancels the attempt and dispatches the request to another endpoint. @return false if the retry budget is used up. */
 bool ForwardedRequest::moveToOtherEndpoint(std::string_view cause)
 {
-    if (!context_.retryAllowanceOf(service_).tryRetry(BootClock::now())) {
+    if (!takeRetry()) {
         return false;
     }
     context_.connections.closeAll(endpoint_->record.id);
     mayHaveRun_ = true;
     hasUncancellableAttempt_ = hasUncancellableAttempt_ || endpoint_->isUnresponsive;
-    context_.metrics.retries.add();
     hasRetried_ = true;
     logCancelledAttempt(cause);
     // An endpoint that serves other requests meanwhile may have lost only this one's answer.
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -98,6 +98,7 @@
     bool waitForRestOrReject();
     void endEvacuated();
     std::string_view reserveRetry();
+    bool takeRetry();
     void logCancelledAttempt(std::string_view cause);
     void logFailedAttempt(std::string_view end, int status, std::string_view atFault, std::string_view decision);
 
@@ -170,6 +171,7 @@
     bool isCountedUnstarted_ = false; ///< The current attempt is counted in Endpoint::unstartedStreams: a stream without an answer head yet.
     bool mayHaveRun_ = false;
     bool hasRetried_ = false;
+    bool wasRetryDenied_ = false;
     bool needsRetryBudget_ = false; ///< The next attempt is a retry and must be granted by the retry budget.
     BootTime refusedAt_; ///< When an endpoint last refused the request because its group was not running or it asked for rest.
     std::shared_ptr<EndpointAttempt> attempt_;
--- a/libs/forward/src/forwardmetrics.h
+++ b/libs/forward/src/forwardmetrics.h
@@ -15,6 +15,7 @@
         , attempts(metrics.counter("magnolia_forward_sendings_total", "Requests sent to endpoints, first and repeated."))
         , retries(metrics.counter("magnolia_forward_retries_total", "Sendings beyond the first of a request."))
         , retriesDenied(metrics.counter("magnolia_forward_retries_denied_total", "Retries that the shared budget did not allow."))
+        , instances(metrics.gauge("magnolia_forward_instances", "Instances that share the retry budgets and the endpoints' limits, this one included."))
         , answers(metrics.counter("magnolia_forward_answers_total", "Endpoints' answers passed on whole."))
         , refusals(metrics.counter("magnolia_forward_refusals_total", "Requests refused as not run."))
         , withoutSlot(metrics.counter("magnolia_forward_without_place_total", "Streams refused since as many are in progress as stay in time."))
@@ -47,6 +48,7 @@
     observe::Counter &attempts;
     observe::Counter &retries;
     observe::Counter &retriesDenied;
+    observe::Gauge &instances;
     observe::Counter &answers;
     observe::Counter &refusals;
     observe::Counter &withoutSlot;
--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -91,6 +91,10 @@
     }
     void setInstances(std::string own, std::vector<std::string> others) override
     {
+        const std::size_t before = context_.endpoints.instances();
+        if (others.size() + 1 != before) {
+            log()->info("Number of instances changed before={} after={}", before, others.size() + 1);
+        }
         context_.setInstances(std::move(own), std::move(others));
     }
     void putEndpoint(const routing::EndpointRecord &record) override;
--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -48,8 +48,7 @@
     if (endpoint != nullptr && now < context_.endpoints.groupAvoidedUntil(*endpoint) && waitForGroup(*endpoint)) {
         return;
     }
-    if (endpoint != nullptr && needsRetryBudget_ && !context_.retryAllowanceOf(service_).tryRetry(now)) {
-        context_.metrics.retriesDenied.add();
+    if (endpoint != nullptr && needsRetryBudget_ && !takeRetry()) {
         reject(StatusUnavailable, RetryAfterGroup, "its endpoint refused it, and the retry budget is used up");
         return;
     }
@@ -221,11 +220,29 @@
     if (BootClock::now() >= latestDispatch()) {
         return overdueCause();
     }
-    if (!context_.retryAllowanceOf(service_).tryRetry(BootClock::now())) {
-        context_.metrics.retriesDenied.add();
-        return "the retry budget is used up";
-    }
-    return {};
+    return takeRetry() ? std::string_view() : "the retry budget is used up";
+}
+
+/** Takes one retry from the service's budget. Every further dispatch of a request that may have arrived at an endpoint takes one. */
+bool ForwardedRequest::takeRetry()
+{
+    const BootTime now = BootClock::now();
+    routing::RetryAllowance &allowance = context_.retryAllowanceOf(service_);
+    const routing::RetryAllowance::Usage usage = allowance.usage(now);
+    const bool isAllowed = allowance.tryRetry(now);
+    if (!isAllowed && std::exchange(wasRetryDenied_, true)) {
+        return false; // A request at a silent endpoint asks again periodically.
+    }
+    (isAllowed ? context_.metrics.retries : context_.metrics.retriesDenied).add();
+    context_.log.logRetryDecision({.requestId = requestId_,
+                                   .service = service_,
+                                   .isAllowed = isAllowed,
+                                   .requests = usage.requests,
+                                   .retries = usage.retries,
+                                   .maxRetries = usage.maxRetries,
+                                   .instances = usage.instances,
+                                   .processAge = now - context_.startedAt});
+    return isAllowed;
 }
 
 void ForwardedRequest::logFailedAttempt(std::string_view end, int status, std::string_view atFault, std::string_view decision)
@@ -275,7 +292,6 @@
     if (!denial.empty()) {
         return false;
     }
-    context_.metrics.retries.add();
     hasRetried_ = true;
     if (isStreaming_) {
         context_.metrics.resumed.add();
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -73,6 +73,22 @@
                 record.concurrentRequests);
 }
 
+void RequestLog::logRetryDecision(const RetryDecisionRecord &record)
+{
+    if (!reserveLine()) {
+        return;
+    }
+    log()->info("Retry decided id={} service={} allowed={} requests={} retries={} max_retries={:.1f} instances={} process_age_ms={}",
+                record.requestId,
+                record.service,
+                record.isAllowed,
+                record.requests,
+                record.retries,
+                record.maxRetries,
+                record.instances,
+                milliseconds(record.processAge));
+}
+
 void RequestLog::logCancelledAttempt(const CancelledAttemptRecord &record)
 {
     if (!reserveLine()) {
--- a/libs/forward/src/requestlog.h
+++ b/libs/forward/src/requestlog.h
@@ -83,6 +83,18 @@
     Duration retryAfter{};
 };
 
+/** Whether the retry budget of a service allows one more retry, and what decided it. */
+struct RetryDecisionRecord {
+    std::string_view requestId{};
+    std::string_view service{};
+    bool isAllowed = false;
+    double requests = 0; ///< Of this instance in the budget's window.
+    double retries = 0; ///< Of this instance, before this one.
+    double maxRetries = 0;
+    std::size_t instances = 0; ///< Number of instances that share the budget.
+    BootClock::duration processAge{};
+};
+
 /**
  * Writes one line for each ended request, failed attempt, cancelled attempt, change of a limit and statement of an endpoint.
  *
@@ -100,6 +112,8 @@
 
     void logClassRejection(const ClassRejectionRecord &record);
 
+    void logRetryDecision(const RetryDecisionRecord &record);
+
     /** @param perSecond the new limit; nothing: the endpoint no longer states one. */
     void logRateLimit(std::string_view endpoint, std::optional<double> perSecond);
 
--- a/libs/routing/include/routing/retryallowance.h
+++ b/libs/routing/include/routing/retryallowance.h
@@ -47,6 +47,16 @@
     /** @return true if one more retry is within the budget; the retry is then counted. */
     bool tryRetry(BootTime now);
 
+    /** What decides about the next retry. */
+    struct Usage {
+        double requests = 0; ///< In the window.
+        double retries = 0; ///< In the window.
+        double maxRetries = 0; ///< Number of retries at which the next one is denied.
+        std::size_t instances = 0; ///< See Options.
+    };
+
+    Usage usage(BootTime now) const;
+
 private:
     static constexpr std::size_t BucketCount = 64; ///< The window is exact to one bucket.
 
@@ -56,6 +66,7 @@
         std::uint32_t retries = 0;
     };
 
+    std::int64_t bucketNumber(BootTime now) const;
     Bucket &bucketAt(BootTime now);
 
     Options options_;
--- a/libs/routing/src/retryallowance.cpp
+++ b/libs/routing/src/retryallowance.cpp
@@ -26,28 +26,37 @@
 
 bool RetryAllowance::tryRetry(BootTime now)
 {
-    Bucket &current = bucketAt(now);
-    double requests = 0;
-    double retries = 0;
+    const Usage used = usage(now);
+    if (used.retries + 1 > used.maxRetries) {
+        return false;
+    }
+    ++bucketAt(now).retries;
+    return true;
+}
+
+RetryAllowance::Usage RetryAllowance::usage(BootTime now) const
+{
+    Usage used{.instances = options_.instances};
+    const std::int64_t current = bucketNumber(now);
     for (const Bucket &bucket : buckets_) {
-        if (bucket.number > current.number - static_cast<std::int64_t>(BucketCount)) {
-            requests += bucket.requests;
-            retries += bucket.retries;
+        if (bucket.number > current - static_cast<std::int64_t>(BucketCount)) {
+            used.requests += bucket.requests;
+            used.retries += bucket.retries;
         }
     }
     const double parts = ConstantReserve * static_cast<double>(std::max<std::size_t>(options_.instances, 1));
-    const double maxRetries = options_.share * ShareUsed * requests + options_.constant / parts;
-    if (retries + 1 > maxRetries) {
-        return false;
-    }
-    ++current.retries;
-    return true;
+    used.maxRetries = options_.share * ShareUsed * used.requests + options_.constant / parts;
+    return used;
+}
+
+std::int64_t RetryAllowance::bucketNumber(BootTime now) const
+{
+    return now.time_since_epoch() / std::max(options_.window / static_cast<int>(BucketCount), Duration(1));
 }
 
 RetryAllowance::Bucket &RetryAllowance::bucketAt(BootTime now)
 {
-    const auto width = std::max(options_.window / static_cast<int>(BucketCount), Duration(1));
-    const std::int64_t number = now.time_since_epoch() / width;
+    const std::int64_t number = bucketNumber(now);
     Bucket &bucket = buckets_[static_cast<std::size_t>(number) % BucketCount];
     if (bucket.number != number) {
         bucket = {.number = number, .requests = 0, .retries = 0};
