routing: retries count for as long as they may take to arrive

Retries counted for 63 to 64 steps of 156 ms, so for as little as 9.83 s of a window of 10 s, and what the network held back arrived together with what was sent a window later: two bursts were both allowed whole. Retries now count for a quarter longer than the window, requests for no longer than the window. The share used rises from 0.75 to 0.8 of the budget's, as the reserve for late arrivals is now that time.

--- a/libs/routing/include/routing/retryallowance.h
+++ b/libs/routing/include/routing/retryallowance.h
@@ -50,7 +50,7 @@
     /** What decides about the next retry. */
     struct Usage {
         double requests = 0; ///< In the window.
-        double retries = 0; ///< In the window.
+        double retries = 0; ///< In the window and the time that a retry may be on its way.
         double maxRetries = 0; ///< Number of retries at which the next one is denied.
         std::size_t instances = 0; ///< See Options.
     };
@@ -58,7 +58,11 @@
     Usage usage(BootTime now) const;
 
 private:
-    static constexpr std::size_t BucketCount = 64; ///< The window is exact to one bucket.
+    static constexpr std::int64_t RequestBuckets = 64; ///< The window of the requests.
+
+    // Retries count for a quarter longer than the window, because they may be on their way for that long, and arrive together with later ones. Two more
+    // buckets hold the parts of a bucket at both ends.
+    static constexpr std::int64_t RetryBuckets = RequestBuckets * 5 / 4 + 2;
 
     struct Bucket {
         std::int64_t number = 0; ///< Index of its time span since the epoch.
@@ -66,11 +70,13 @@
         std::uint32_t retries = 0;
     };
 
+    Duration bucketWidth() const;
     std::int64_t bucketNumber(BootTime now) const;
     Bucket &bucketAt(BootTime now);
+    double maxRetries(double requests) const;
 
     Options options_;
-    std::array<Bucket, BucketCount> buckets_{};
+    std::array<Bucket, RetryBuckets> buckets_{};
 };
 
 } // namespace magnolia::routing
--- a/libs/routing/src/retryallowance.cpp
+++ b/libs/routing/src/retryallowance.cpp
@@ -8,8 +8,7 @@
 namespace
 {
 
-// Less than 1, because a retry may fall into another window at the receiver, one with fewer of the requests that allowed it.
-constexpr double ShareUsed = 0.75;
+constexpr double ShareUsed = 0.8;
 
 // Each instance uses its part of the constant as if there were twice as many instances, because their number is known some seconds late and a restarted
 // instance has lost its count of used retries.
@@ -39,25 +38,34 @@
     Usage used{.instances = options_.instances};
     const std::int64_t current = bucketNumber(now);
     for (const Bucket &bucket : buckets_) {
-        if (bucket.number > current - static_cast<std::int64_t>(BucketCount)) {
-            used.requests += bucket.requests;
-            used.retries += bucket.retries;
-        }
+        const std::int64_t age = current - bucket.number;
+        used.requests += age < RequestBuckets ? bucket.requests : 0;
+        used.retries += age < RetryBuckets ? bucket.retries : 0;
     }
-    const double parts = ConstantReserve * static_cast<double>(std::max<std::size_t>(options_.instances, 1));
-    used.maxRetries = options_.share * ShareUsed * used.requests + options_.constant / parts;
+    used.maxRetries = maxRetries(used.requests);
     return used;
 }
 
+double RetryAllowance::maxRetries(double requests) const
+{
+    const double parts = ConstantReserve * static_cast<double>(std::max<std::size_t>(options_.instances, 1));
+    return options_.share * ShareUsed * requests + options_.constant / parts;
+}
+
+Duration RetryAllowance::bucketWidth() const
+{
+    return std::max(options_.window / RequestBuckets, Duration(1));
+}
+
 std::int64_t RetryAllowance::bucketNumber(BootTime now) const
 {
-    return now.time_since_epoch() / std::max(options_.window / static_cast<int>(BucketCount), Duration(1));
+    return now.time_since_epoch() / bucketWidth();
 }
 
 RetryAllowance::Bucket &RetryAllowance::bucketAt(BootTime now)
 {
     const std::int64_t number = bucketNumber(now);
-    Bucket &bucket = buckets_[static_cast<std::size_t>(number) % BucketCount];
+    Bucket &bucket = buckets_[static_cast<std::size_t>(number % RetryBuckets)];
     if (bucket.number != number) {
         bucket = {.number = number, .requests = 0, .retries = 0};
     }
