routing: an instance that does not know the number of instances uses no part of the retry budget's constant

Until its first list of instances an entry assumed eight, whatever the deployment's size: forty entries took five times the constant. Not known is now a value of its own (0), and such an entry uses its share of requests only. The same class as an incarnation that is not stated: absent was taken for a number.

--- a/libs/routing/include/routing/retryallowance.h
+++ b/libs/routing/include/routing/retryallowance.h
@@ -30,8 +30,7 @@
         double share = 0.2; ///< Retries per request.
         double constant = 0; ///< Additional retries per window, for all instances together.
         Duration window{10000};
-        /** Number of instances that share the budget. A process learns it together with its routes, before it can accept requests. */
-        std::size_t instances = 8;
+        std::size_t instances = 0; ///< That share the budget; 0: not known, so that no part of the constant is used.
     };
 
     explicit RetryAllowance(const Options &options);
--- a/libs/routing/src/retryallowance.cpp
+++ b/libs/routing/src/retryallowance.cpp
@@ -48,8 +48,8 @@
 
 double RetryAllowance::maxRetries(double requests) const
 {
-    const double parts = ConstantReserve * static_cast<double>(std::max<std::size_t>(options_.instances, 1));
-    return options_.share * ShareUsed * requests + options_.constant / parts;
+    const double constant = options_.instances == 0 ? 0 : options_.constant / (ConstantReserve * static_cast<double>(options_.instances));
+    return options_.share * ShareUsed * requests + constant;
 }
 
 Duration RetryAllowance::bucketWidth() const
--- a/libs/routing/tests/knowledgetest.cpp
+++ b/libs/routing/tests/knowledgetest.cpp
@@ -91,7 +91,7 @@
 
 BOOST_AUTO_TEST_CASE(instance_withoutRequests_hasAFewRetries)
 {
-    RetryAllowance allowance({.share = 0.2, .constant = 90, .window = 10s});
+    RetryAllowance allowance({.share = 0.2, .constant = 90, .window = 10s, .instances = 8});
     int allowed = 0;
     while (allowed < 100 && allowance.tryRetry(Start)) {
         ++allowed;
@@ -100,6 +100,18 @@
     BOOST_TEST(allowed <= 90 / 8);
 }
 
+// Guards against entries that don't know how many they are taking each a fixed part of the budget.
+BOOST_AUTO_TEST_CASE(instance_withoutTheirNumber_hasOnlyItsShare)
+{
+    RetryAllowance allowance({.share = 0.2, .constant = 90, .window = 10s});
+    BOOST_TEST(!allowance.tryRetry(Start));
+    for (int request = 0; request < 10; ++request) {
+        allowance.onRequest(Start);
+    }
+    BOOST_TEST(allowance.tryRetry(Start));
+    BOOST_TEST(!allowance.tryRetry(Start));
+}
+
 // Guards against a deployment of hundreds of entries exceeding its retry budget when a group crashes: the part of the constant must depend on the number
 // of instances instead of being fixed.
 BOOST_AUTO_TEST_CASE(constant_anyNumberOfInstances_totalIsWithinBudgetAndHalfIsUsed)
@@ -123,10 +135,11 @@
 
 BOOST_AUTO_TEST_CASE(retries_afterTheWindow_areAllowedAgain)
 {
-    RetryAllowance allowance({.share = 0, .constant = 16, .window = 10s});
+    RetryAllowance allowance({.share = 0, .constant = 2, .window = 10s, .instances = 1});
     BOOST_TEST(allowance.tryRetry(Start));
     BOOST_TEST(!allowance.tryRetry(Start + 9s));
-    BOOST_TEST(allowance.tryRetry(Start + 11s));
+    BOOST_TEST(!allowance.tryRetry(Start + 12s)); // The first may have arrived up to a quarter of the window later.
+    BOOST_TEST(allowance.tryRetry(Start + 13s));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
