peers, forward: the number of instances is known once a list contains this process

At the start of a deployment each entry read a list without the others, took itself for the only one and with that for the whole of the retry budget's constant; it did so until the next read, 15 s later if one read failed. PeerList now says whether a list was complete, reads it again soon until one is, and says whether the first list shows a process before this one. Until it is complete an entry uses no part of the constant and takes no turn at cold endpoints, whose turns were divided by the same number; rate limits of endpoints use the number as the least.

The three new cases of PeerListTest fail without it.

--- a/libs/forward/include/forward/forwardtask.h
+++ b/libs/forward/include/forward/forwardtask.h
@@ -41,6 +41,14 @@
     observe::Tracer *tracer = nullptr; ///< Outlives the task; null: no spans.
 };
 
+/** The instances of a deployment, each by a unique name or address. */
+struct Instances {
+    std::string own{};
+    std::vector<std::string> others{};
+    bool isComplete = true; ///< False: others that have started at the same time may be missing.
+    bool isFirstProcess = false; ///< No process ran on this instance before.
+};
+
 /**
  * Reverse proxy between callers and endpoints, which forwards request bodies without parsing them.
  *
@@ -71,11 +79,10 @@
     virtual void setInstanceCount(std::size_t instances) = 0;
 
     /**
-     * Sets which instances there are. They also share the rate of each cold endpoint, so that this one sends none to a cold endpoint before it knows them.
-     *
-     * @param own unique name or address of this instance. @param others those of the others.
+     * Sets which instances share the retry budget, the endpoints' rate limits and the rate of each cold endpoint. Before a complete list is known, this one
+     * uses no part of the retry budget's constant and sends nothing to cold endpoints.
      */
-    virtual void setInstances(std::string own, std::vector<std::string> others) = 0;
+    virtual void setInstances(Instances instances) = 0;
 
     virtual void putEndpoint(const routing::EndpointRecord &record) = 0;
     virtual void removeEndpoint(std::string_view id) = 0;
--- a/libs/forward/src/forwardcontext.h
+++ b/libs/forward/src/forwardcontext.h
@@ -131,10 +131,26 @@
         }
     }
 
-    void setInstances(std::string own, std::vector<std::string> others)
+    void setFirstProcess()
     {
-        setInstanceCount(others.size() + 1);
-        endpoints.coldEndpoints().setInstances(std::move(own), std::move(others));
+        options.retries.precededUntil.reset();
+        for (auto &[service, allowance] : retryAllowances) {
+            allowance.setFirstProcess();
+        }
+    }
+
+    void setInstances(Instances instances)
+    {
+        const std::size_t count = instances.others.size() + 1;
+        if (instances.isFirstProcess) {
+            setFirstProcess();
+        }
+        if (!instances.isComplete) {
+            endpoints.setInstances(count);
+            return;
+        }
+        setInstanceCount(count);
+        endpoints.coldEndpoints().setInstances(std::move(instances.own), std::move(instances.others));
     }
 
     event_base *loop;
--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -89,13 +89,14 @@
     {
         context_.setInstanceCount(instances);
     }
-    void setInstances(std::string own, std::vector<std::string> others) override
+    void setInstances(Instances instances) override
     {
-        const std::size_t before = context_.endpoints.instances();
-        if (others.size() + 1 != before) {
-            log()->info("Number of instances changed before={} after={}", before, others.size() + 1);
+        const std::size_t before = context_.options.retries.instances;
+        const std::size_t count = instances.others.size() + 1;
+        if (instances.isComplete && count != before) {
+            log()->info("Number of instances changed before={} after={} first_process={}", before, count, instances.isFirstProcess);
         }
-        context_.setInstances(std::move(own), std::move(others));
+        context_.setInstances(std::move(instances));
     }
     void putEndpoint(const routing::EndpointRecord &record) override;
     void removeEndpoint(std::string_view id) override;
--- a/libs/forward/tests/coldendpointstest.cpp
+++ b/libs/forward/tests/coldendpointstest.cpp
@@ -44,7 +44,7 @@
             startEntry();
             std::vector<std::string> others = names;
             std::erase(others, own);
-            tasks.back()->setInstances(own, others);
+            tasks.back()->setInstances({.own = own, .others = others});
         }
     }
 
--- a/libs/forward/tests/recordingtask.h
+++ b/libs/forward/tests/recordingtask.h
@@ -25,7 +25,7 @@
         ++confirmations;
     }
     void setInstanceCount(std::size_t /*instances*/) override {}
-    void setInstances(std::string /*own*/, std::vector<std::string> /*others*/) override {}
+    void setInstances(Instances /*instances*/) override {}
     void onFirstListComplete() override
     {
         ++firstLists;
--- a/libs/peers/include/peers/peerlist.h
+++ b/libs/peers/include/peers/peerlist.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -24,6 +25,13 @@
     Duration age{0}; ///< Time since its last announcement, by the store's clock.
 };
 
+/** What a read of the announcements has shown. */
+struct Peers {
+    std::vector<std::string> addresses{}; ///< Of all usable peers.
+    bool isComplete = false; ///< This process was listed too, and so were those that started together with it.
+    bool isFirstProcess = false; ///< The first list did not contain this instance: no process ran there before this one.
+};
+
 /** Store in which peers announce themselves. Each operation calls done exactly once, asynchronously on the loop's thread. */
 class PeerStore
 {
@@ -39,12 +47,12 @@
 /**
  * Announces this process to its peers and discovers their addresses.
  *
- * The known peers are kept while the store is unavailable, since that is when they are needed. An announcement that is not renewed is no longer used
- * and is later removed, so that the list does not grow with each replaced instance. The store charges for requests, so there are few: one read every
- * 15 s and one write every minute. Lives on one event loop; the store must outlive it.
+ * The known peers are kept while the store is unavailable, since that is when they are needed. Until a list is complete, it is read more often. An announcement
+ * that is not renewed is no longer used and is later removed, so that the list does not grow with each replaced instance. The store charges for requests, so
+ * there are few: one read every 15 s and one write every minute. Lives on one event loop; the store must outlive it.
  *
  * @code
- * PeerList peers(loop, {.name = "entry-a", .address = "10.0.0.4:7341"}, store, [&](auto addresses) { exchange.setPeers(addresses); });
+ * PeerList peers(loop, {.name = "entry-a", .address = "10.0.0.4:7341"}, store, [&](auto peers) { exchange.setPeers(peers.addresses); });
  * peers.start();
  * @endcode
  */
@@ -54,15 +62,16 @@
     struct Options {
         std::string name{};
         std::string address{}; ///< On which this process accepts links.
-        Duration firstRefreshDelay{1500}; ///< After the start. Processes of a deployment start together and are missing from one another's first list.
+        Duration firstRefreshDelay{
+            1500}; ///< After the start; doubled until a list is complete. Processes that start together are missing from one another's first list.
         Duration refreshInterval{15000};
         Duration renewalInterval{60000};
         Duration maxUsableAge{200000}; ///< Three renewal intervals and a margin.
         Duration maxAnnouncementAge{600000}; ///< Older announcements are removed from the store.
     };
 
-    /** @param onPeersChanged called with the addresses of all usable peers after each read of the list. */
-    PeerList(event_base *loop, Options options, PeerStore &store, std::function<void(std::vector<std::string>)> onPeersChanged);
+    /** @param onPeersChanged called after each read of the list. */
+    PeerList(event_base *loop, Options options, PeerStore &store, std::function<void(Peers)> onPeersChanged);
     PeerList(const PeerList &) = delete;
     PeerList &operator=(const PeerList &) = delete;
 
@@ -75,10 +84,12 @@
 
     Options options_;
     PeerStore &store_;
-    std::function<void(std::vector<std::string>)> onPeersChanged_;
+    std::function<void(Peers)> onPeersChanged_;
     http::Timer timer_;
     BootTime announcedAt_; ///< The epoch: not announced yet.
-    bool isFirstRefresh_ = true;
+    Duration refreshDelay_;
+    bool isComplete_ = false; ///< A list has been complete.
+    std::optional<bool> isFirstProcess_; ///< Nothing: no list has been read.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libs/peers/src/peerlist.cpp
+++ b/libs/peers/src/peerlist.cpp
@@ -2,6 +2,7 @@
 
 #include "observe/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace magnolia::peers
@@ -18,8 +19,12 @@
 
 } // namespace
 
-PeerList::PeerList(event_base *loop, Options options, PeerStore &store, std::function<void(std::vector<std::string>)> onPeersChanged)
-    : options_(std::move(options)), store_(store), onPeersChanged_(std::move(onPeersChanged)), timer_(loop, [this] { refresh(); })
+PeerList::PeerList(event_base *loop, Options options, PeerStore &store, std::function<void(Peers)> onPeersChanged)
+    : options_(std::move(options))
+    , store_(store)
+    , onPeersChanged_(std::move(onPeersChanged))
+    , timer_(loop, [this] { refresh(); })
+    , refreshDelay_(options_.firstRefreshDelay)
 {
 }
 
@@ -30,7 +35,8 @@
 
 void PeerList::refresh()
 {
-    timer_.start(std::exchange(isFirstRefresh_, false) ? options_.firstRefreshDelay : options_.refreshInterval);
+    timer_.start(isComplete_ ? options_.refreshInterval : refreshDelay_);
+    refreshDelay_ = std::min(refreshDelay_ * 2, options_.refreshInterval);
     const BootTime now = BootClock::now();
     if (announcedAt_ == BootTime() || now - announcedAt_ >= options_.renewalInterval) {
         announce();
@@ -63,15 +69,23 @@
 
 void PeerList::onPeersListed(const std::vector<AnnouncedPeer> &peers)
 {
-    std::vector<std::string> usable;
+    Peers usable;
     std::vector<std::string> expired;
     for (const AnnouncedPeer &peer : peers) {
         if (peer.age > options_.maxAnnouncementAge) {
             expired.push_back(peer.name);
-        } else if (peer.name != options_.name && peer.age <= options_.maxUsableAge) {
-            usable.push_back(peer.address);
+        } else if (peer.age > options_.maxUsableAge) {
+            continue;
+        } else if (peer.name == options_.name) {
+            usable.isComplete = true;
+        } else {
+            usable.addresses.push_back(peer.address);
         }
     }
+    // The first list is requested before this process is announced, so what it contains of this instance is from a process before it.
+    isFirstProcess_ = isFirstProcess_.value_or(!usable.isComplete);
+    usable.isFirstProcess = *isFirstProcess_;
+    isComplete_ = isComplete_ || usable.isComplete;
     if (!expired.empty()) {
         store_.removeAnnouncements(expired, [count = expired.size()](const Result<void> &done) {
             log()->info("Expired announcements removed count={} outcome={}", count, done ? "done" : done.error().detail);
--- a/libs/peers/tests/peerlisttest.cpp
+++ b/libs/peers/tests/peerlisttest.cpp
@@ -72,10 +72,14 @@
 
     FakeStore store{loop.get()};
     std::vector<std::vector<std::string>> reportedAddresses;
+    std::vector<Peers> reported;
     PeerList list{loop.get(),
                   {.name = "a", .address = "10.0.0.1:1", .firstRefreshDelay = Duration(20), .refreshInterval = Duration(40), .renewalInterval = Duration(200)},
                   store,
-                  [this](std::vector<std::string> addresses) { reportedAddresses.push_back(std::move(addresses)); }};
+                  [this](Peers peers) {
+                      reportedAddresses.push_back(peers.addresses);
+                      reported.push_back(std::move(peers));
+                  }};
 };
 
 AnnouncedPeer peer(const std::string &name, Duration age)
@@ -126,6 +130,43 @@
     BOOST_TEST(store.announced.size() <= announced + 2);
 }
 
+// Guards against a process taking itself for the only one, because the others that started with it are not announced yet.
+BOOST_AUTO_TEST_CASE(list_withoutThisProcess_isNotComplete)
+{
+    BOOST_REQUIRE(runUntil([this] { return !reported.empty(); }));
+    BOOST_TEST(!reported.back().isComplete);
+    BOOST_TEST(reported.back().isFirstProcess);
+    store.peers = {peer("a", Duration(0)), peer("b", Duration(0))};
+    BOOST_REQUIRE(runUntil([this] { return reported.back().isComplete; }));
+    BOOST_TEST(reported.back().isFirstProcess);
+    BOOST_TEST(reported.back().addresses.size() == 1U);
+}
+
+// Guards against a restarted process being taken for the first one of its instance.
+BOOST_AUTO_TEST_CASE(firstList_containsThisInstance_anotherProcessWasBefore)
+{
+    store.peers = {peer("a", Duration(100)), peer("b", Duration(100))};
+    BOOST_REQUIRE(runUntil([this] { return !reported.empty(); }));
+    BOOST_TEST(reported.back().isComplete);
+    BOOST_TEST(!reported.back().isFirstProcess);
+}
+
+// Guards against a wrong number of instances being kept for a whole refresh interval, because one read failed just after the start.
+BOOST_AUTO_TEST_CASE(list_notCompleteYet_isReadAgainSoon)
+{
+    Peers last;
+    PeerList slow(loop.get(),
+                  {.name = "a", .address = "10.0.0.1:1", .firstRefreshDelay = Duration(20), .refreshInterval = Duration(60'000)},
+                  store,
+                  [&last](Peers peers) { last = std::move(peers); });
+    store.isUnavailable = true;
+    slow.start();
+    runFor(Duration(50));
+    store.isUnavailable = false;
+    store.peers = {peer("a", Duration(0)), peer("b", Duration(0))};
+    BOOST_REQUIRE(runUntil([&last] { return last.isComplete; }, Duration(2000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::peers
