peers: an old announcement of this instance also shows that a process ran there before

By reading: an announcement that was not renewed for 200 s, as the store was away, made the next process a first one, with its whole part of the retry budget at once. The new case of PeerListTest fails without it.

--- a/libs/peers/include/peers/peerlist.h
+++ b/libs/peers/include/peers/peerlist.h
@@ -62,8 +62,8 @@
     struct Options {
         std::string name{};
         std::string address{}; ///< On which this process accepts links.
-        Duration firstRefreshDelay{
-            1500}; ///< After the start; doubled until a list is complete. Processes that start together are missing from one another's first list.
+        /** After the start; doubled until a list is complete. Processes that start together are missing from one another's first list. */
+        Duration firstRefreshDelay{1500};
         Duration refreshInterval{15000};
         Duration renewalInterval{60000};
         Duration maxUsableAge{200000}; ///< Three renewal intervals and a margin.
--- a/libs/peers/src/peerlist.cpp
+++ b/libs/peers/src/peerlist.cpp
@@ -70,20 +70,21 @@
 void PeerList::onPeersListed(const std::vector<AnnouncedPeer> &peers)
 {
     Peers usable;
+    bool isListed = false;
     std::vector<std::string> expired;
     for (const AnnouncedPeer &peer : peers) {
+        const bool isOwn = peer.name == options_.name;
+        isListed = isListed || isOwn;
         if (peer.age > options_.maxAnnouncementAge) {
             expired.push_back(peer.name);
-        } else if (peer.age > options_.maxUsableAge) {
-            continue;
-        } else if (peer.name == options_.name) {
+        } else if (peer.age <= options_.maxUsableAge && isOwn) {
             usable.isComplete = true;
-        } else {
+        } else if (peer.age <= options_.maxUsableAge) {
             usable.addresses.push_back(peer.address);
         }
     }
     // The first list is requested before this process is announced, so what it contains of this instance is from a process before it.
-    isFirstProcess_ = isFirstProcess_.value_or(!usable.isComplete);
+    isFirstProcess_ = isFirstProcess_.value_or(!isListed);
     usable.isFirstProcess = *isFirstProcess_;
     isComplete_ = isComplete_ || usable.isComplete;
     if (!expired.empty()) {
--- a/libs/peers/tests/peerlisttest.cpp
+++ b/libs/peers/tests/peerlisttest.cpp
@@ -151,6 +151,15 @@
     BOOST_TEST(!reported.back().isFirstProcess);
 }
 
+// Guards against the same after an outage of the store in which the announcement could not be renewed.
+BOOST_AUTO_TEST_CASE(firstList_containsAnOldAnnouncementOfThisInstance_anotherProcessWasBefore)
+{
+    store.peers = {peer("a", Duration(300'000))};
+    BOOST_REQUIRE(runUntil([this] { return !reported.empty(); }));
+    BOOST_TEST(!reported.back().isComplete);
+    BOOST_TEST(!reported.back().isFirstProcess);
+}
+
 // Guards against a wrong number of instances being kept for a whole refresh interval, because one read failed just after the start.
 BOOST_AUTO_TEST_CASE(list_notCompleteYet_isReadAgainSoon)
 {
