--- a/libs/routing/tests/retrybudgetworld.h
+++ b/libs/routing/tests/retrybudgetworld.h
@@ -9,7 +9,6 @@
 #include <cstdint>
 #include <optional>
 #include <random>
-#include <utility>
 #include <vector>
 
 namespace magnolia::routing
@@ -40,7 +39,7 @@
         Duration simulatedTime{120000};
     };
 
-    explicit RetryBudgetWorld(Options options) : options_(std::move(options)), random_(options_.seed)
+    explicit RetryBudgetWorld(const Options &options) : options_(options), random_(options.seed)
     {
         for (std::size_t index = 0; index < options_.entries; ++index) {
             addEntry();
@@ -113,7 +112,7 @@
         entry.weight = std::uniform_real_distribution<double>(0.2, 1)(random_);
         entry.learnt = entries_.size() + 1;
         entry.learnsAt = now_;
-        entries_.push_back(std::move(entry));
+        entries_.push_back(entry);
     }
 
     BootTime after(Duration interval)
