--- a/review/standins/smalldeployment.h
+++ b/review/standins/smalldeployment.h
@@ -145,6 +145,7 @@
         Duration work{20};
         std::function<void(const std::string &requestId, const std::string &body)> onArrival{}; ///< A whole request has reached it.
         std::function<void(const std::string &requestId)> onRun{}; ///< It begins to work on the request.
+        std::function<std::size_t(const std::string &body)> answerBytes = [](const std::string &) { return std::size_t(0); }; ///< Added to the answer.
         std::size_t maxBodyBytes = 4U << 20U;
     };
 
@@ -245,7 +246,7 @@
                                  {{lowerCase(protocol_.requestId), next.requestId},
                                   {lowerCase(protocol_.answerProof), "proof-" + options_.id},
                                   {lowerCase(protocol_.load), std::to_string(running_) + "," + std::to_string(queue_.size()) + "," + std::to_string(Slots)}},
-                                 "done by " + options_.id);
+                                 "done by " + options_.id + std::string(options_.answerBytes(std::string(next.exchange->body())), '.'));
             runNext();
         });
     }
