--- a/review/standins/smalldeployment.h
+++ b/review/standins/smalldeployment.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
