--- a/review/standins/closingclients.cpp
+++ b/review/standins/closingclients.cpp
@@ -22,10 +22,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t DocumentBytes = 200U * 1000U;
+constexpr std::size_t DocumentBytes = 600000;
 constexpr std::size_t ReaderCount = 12; ///< Clients that fetch documents.
-constexpr std::size_t KeeperCount = 12; ///< Clients that keep their channels.
-constexpr std::size_t MemoryLimitKb = 260U * 1000U * 1000U / 1024U;
+constexpr std::size_t KeeperCount = 24; ///< Clients that keep their channels.
+constexpr std::size_t MemoryLimitKb = 260000000 / 1024;
 constexpr int LostAllowed = 3;
 
 // The links have small windows. A segment holds what it holds on a usual network; on the loopback interface it would be 64 KB.
--- a/review/standins/largebodies.cpp
+++ b/review/standins/largebodies.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t MaxBodyBytes = 4194304; ///< As the configuration states.
 constexpr std::size_t SmallBodyBytes = 600;
 constexpr std::size_t Clients = 50;
-constexpr std::size_t MemoryLimitKb = 260U * 1000U * 1000U / 1024U;
+constexpr std::size_t MemoryLimitKb = 260000000 / 1024;
 constexpr int LostAllowed = 3;
 constexpr Duration SteadyTime = 5000ms;
 constexpr Duration Work = 60ms;
--- a/review/standins/stoppedanswers.cpp
+++ b/review/standins/stoppedanswers.cpp
@@ -22,7 +22,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t DocumentBytes = 600U * 1000U;
+constexpr std::size_t DocumentBytes = 600000;
 constexpr std::size_t ClientCount = 16;
 constexpr int SegmentBytes = 1460; ///< What a segment holds on a usual network; on the loopback interface it would be 64 KB.
 constexpr int WindowBytes = 32768;
