--- a/review/standins/closingclients.cpp
+++ b/review/standins/closingclients.cpp
@@ -1,16 +1,10 @@
-// Clients that open a channel for each request say so ("Connection: close") and fetch documents that don't fit into the send buffer of a socket at once.
+// Clients that open a channel for each request say so ("Connection: close") and fetch documents over links with small windows.
 // Others keep their channels and send small requests. The platform kills a process that exceeds its memory.
+#include "slowchannel.h"
 #include "smalldeployment.h"
 
-#include "http/connection.h"
-#include "http/socketaddress.h"
-
 #include <fmt/format.h>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <map>
 #include <set>
 
@@ -22,65 +16,21 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t DocumentBytes = 600000;
-constexpr std::size_t ReaderCount = 12; ///< Clients that fetch documents.
+constexpr std::size_t DocumentBytes = 80000;
+constexpr std::size_t ReaderCount = 60; ///< Clients that fetch documents.
 constexpr std::size_t KeeperCount = 24; ///< Clients that keep their channels.
 constexpr std::size_t MemoryLimitKb = 260000000 / 1024;
 constexpr int LostAllowed = 3;
 
-// The links have small windows. A segment holds what it holds on a usual network; on the loopback interface it would be 64 KB.
-constexpr int SegmentBytes = 1460;
-constexpr int WindowBytes = 16384;
 constexpr Duration StartTime = 2000ms;
 constexpr Duration Work = 60ms;
 constexpr Duration WatchInterval = 10ms;
 constexpr Duration RestartDelay = 500ms;
+constexpr Duration ReadInterval = 10ms; ///< Of a client that fetches documents: about 1.8 Mbit/s.
 constexpr Duration Pause = 100ms; ///< Of a client, between two requests.
 constexpr Duration PlayTime = 90s;
 constexpr Duration TimeAfterKill = 2000ms;
 
-/** A client's channel for one request. It reads the answer as it comes. */
-class OneRequestChannel
-{
-public:
-    OneRequestChannel(event_base *loop, const std::string &entry, const std::string &message, std::function<void(std::size_t bytes)> onEnd)
-        : onEnd_(std::move(onEnd))
-    {
-        const auto address = http::SocketAddress::parse(entry).value();
-        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        ::setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &SegmentBytes, sizeof(SegmentBytes));
-        ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &WindowBytes, sizeof(WindowBytes));
-        if (::connect(fd, address.get(), address.length) != 0) {
-            ::close(fd);
-            return;
-        }
-        evutil_make_socket_nonblocking(fd);
-        connection_ = http::Connection::adopt(loop, fd);
-        connection_->setCallbacks(
-            {.onData = [this](std::string_view data) { received_ += data.size(); }, .onEnd = [this](http::ConnectionEnd) { onEnd_(received_); }});
-        connection_->send(message);
-    }
-    ~OneRequestChannel()
-    {
-        if (connection_ != nullptr) {
-            connection_->setCallbacks({});
-            connection_->close();
-        }
-    }
-    OneRequestChannel(const OneRequestChannel &) = delete;
-    OneRequestChannel &operator=(const OneRequestChannel &) = delete;
-
-    bool isOpen() const
-    {
-        return connection_ != nullptr;
-    }
-
-private:
-    std::shared_ptr<http::Connection> connection_;
-    std::function<void(std::size_t)> onEnd_;
-    std::size_t received_ = 0;
-};
-
 struct Deployment {
     explicit Deployment(const CaseArguments &caseArguments) : arguments(caseArguments), record(arguments.record), store(loop.loop.get()), later(loop.loop.get())
     {
@@ -133,7 +83,7 @@
         });
     }
 
-    /** One document, on a channel of its own or, without trouble, on one that the client keeps open until it has the whole answer. */
+    /** One document, on a channel of its own, which the client closes when it has the answer. It says so beforehand, or doesn't (without trouble). */
     void fetch(std::size_t index)
     {
         const forward::Protocol protocol = adapters::platformProtocol();
@@ -146,22 +96,16 @@
                                                 arguments.hasTrouble ? "Connection: close\r\n" : "",
                                                 body.size(),
                                                 body);
-        auto onEnd = [this, index, id](std::size_t bytes) {
-            record.line(fmt::format("fetched id={} bytes={}", id, bytes));
-            fetched += bytes > DocumentBytes ? 1 : 0;
+        auto onEnd = [this, index, id](const SlowChannel &channel) {
+            record.line(fmt::format("fetched id={} status={} bytes={} complete={}", id, channel.status(), channel.received(), channel.isComplete()));
+            fetched += channel.isComplete() ? 1 : 0;
             later.after(Pause, [this, index] { fetch(index); });
         };
         record.line("sent id=" + id);
-        readers[index] = std::make_unique<OneRequestChannel>(loop.loop.get(), entry->address(), message, std::move(onEnd));
+        readers[index] = std::make_unique<SlowChannel>(
+            loop.loop.get(), SlowChannel::Options{.entry = entry->address(), .message = message, .readInterval = ReadInterval, .onEnd = std::move(onEnd)});
         if (!readers[index]->isOpen()) {
             later.after(Pause, [this, index] { fetch(index); });
-        } else if (!arguments.hasTrouble) {
-            later.after(4 * Pause, [this, index, id] {
-                readers[index].reset(); // The client has the answer and closes its channel.
-                ++fetched;
-                record.line("fetched and closed id=" + id);
-                fetch(index);
-            });
         }
     }
 
@@ -173,7 +117,7 @@
     std::vector<std::unique_ptr<Server>> servers;
     std::unique_ptr<Entry> entry;
     std::vector<std::unique_ptr<Client>> keepers;
-    std::map<std::size_t, std::unique_ptr<OneRequestChannel>> readers;
+    std::map<std::size_t, std::unique_ptr<SlowChannel>> readers; ///< By client.
     std::set<std::string> passedOn;
     std::set<std::string> run;
     std::size_t peakKb = 0;
--- a/review/standins/largebodies.cpp
+++ b/review/standins/largebodies.cpp
@@ -17,10 +17,12 @@
 constexpr std::size_t MaxBodyBytes = 4194304; ///< As the configuration states.
 constexpr std::size_t SmallBodyBytes = 600;
 constexpr std::size_t Clients = 50;
+constexpr std::size_t KeeperCount = 12; ///< Other clients, which send one small request after the other.
 constexpr std::size_t MemoryLimitKb = 260000000 / 1024;
 constexpr int LostAllowed = 3;
 constexpr Duration SteadyTime = 5000ms;
-constexpr Duration Work = 60ms;
+constexpr Duration Work = 100ms;
+constexpr Duration KeeperPause = 20ms;
 constexpr Duration WatchInterval = 10ms;
 constexpr Duration RestartDelay = 500ms;
 constexpr Duration AnswerTime = 6000ms;
@@ -47,9 +49,26 @@
         for (std::size_t index = 0; index < Clients; ++index) {
             clients.push_back(std::make_unique<Client>(loop.loop.get(), entry->address()));
         }
+        for (std::size_t index = 0; index < KeeperCount; ++index) {
+            keepers.push_back(std::make_unique<Client>(loop.loop.get(), entry->address()));
+            keep(index);
+        }
         watch();
     }
 
+    /** One small request on a kept channel, and so on. */
+    void keep(std::size_t index)
+    {
+        const std::string id = fmt::format("k{}-{}", index, ++sent);
+        record.line("sent id=" + id);
+        keepers[index]->send(id, "book " + id, [this, index, id](int status) {
+            record.line(fmt::format("answered id={} status={} passed_on={} run={}", id, status, passedOn.contains(id), run.contains(id)));
+            lost += status == 0 && passedOn.contains(id) ? 1 : 0;
+            lostRun += status == 0 && run.contains(id) ? 1 : 0;
+            later.after(KeeperPause, [this, index] { keep(index); });
+        });
+    }
+
     /** As the platform does: a process over its memory is killed, and started again after a short delay. Only its anonymous memory is counted. */
     void watch()
     {
@@ -82,6 +101,7 @@
             });
         }
         loop.runUntil([&] { return ended == Clients; }, AnswerTime);
+        loop.runFor(Work);
         return answered;
     }
 
@@ -93,10 +113,12 @@
     std::vector<std::unique_ptr<Server>> servers;
     std::unique_ptr<Entry> entry;
     std::vector<std::unique_ptr<Client>> clients;
+    std::vector<std::unique_ptr<Client>> keepers;
     std::set<std::string> passedOn;
     std::set<std::string> run;
     std::size_t peakKb = 0;
     int kills = 0;
+    int sent = 0;
     int lost = 0;
     int lostRun = 0;
     int unanswered = 0;
@@ -112,7 +134,7 @@
     deployment.lostRun = 0;
     deployment.unanswered = 0;
     const int answered = deployment.round("large", arguments.hasTrouble ? MaxBodyBytes : SmallBodyBytes);
-    deployment.record.line(fmt::format("end: sent={} answered={} unanswered={} of them passed on={} of them run={} kills={} peak_kb={}",
+    deployment.record.line(fmt::format("end: sent={} answered={} unanswered={} lost on kept channels={} of them run={} kills={} peak_kb={}",
                                        Clients,
                                        answered,
                                        deployment.unanswered,
