forward: log the list version and heartbeat of an endpoint's entry

Cause: an entry that brings a leaving endpoint back may have been written late by the endpoint, may come from an outdated list of a peer, or may be a later run of it. The line 'Endpoint known' told neither the version of the list at which the entry changed nor the number of the heartbeat that wrote it, so the three could not be told apart.

No decision reads the number.

--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -239,13 +239,15 @@
     const bool isOtherRun = known != nullptr && current != known;
     const bool hasChanged = known == nullptr || isOtherRun || wasLeaving != current->record.isLeaving;
     if (hasChanged) {
-        log()->info("Endpoint known id={} service={} address={} data_centre={} leaving={} incarnation={}",
+        log()->info("Endpoint known id={} service={} address={} data_centre={} leaving={} incarnation={} listed_at={} heartbeat={}",
                     record.id,
                     record.service,
                     record.address,
                     record.dataCentre,
                     record.isLeaving,
-                    record.incarnation.startedAtMs().value_or(0));
+                    record.incarnation.startedAtMs().value_or(0),
+                    record.listedAt,
+                    record.heartbeat);
     }
     context_.coldMonitor.onListed(*current);
     if (isOtherRun || current->record.isLeaving) {
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -35,6 +35,7 @@
     bool isLeaving = false;
     StatedIncarnation incarnation{}; ///< No state of an earlier run applies to a later one.
     std::uint64_t listedAt = 0; ///< Version of the list at the entry's last change; 0: unknown.
+    std::uint64_t heartbeat = 0; ///< Number of the heartbeat that wrote the entry, for logs; 0: unknown. Each run counts from the start.
     BootTime coldUntil{}; ///< By its entry; the epoch: not cold.
 
     bool operator==(const EndpointRecord &) const = default;
