forward: entries that were written late don't bring leaving endpoints back

Cause: an endpoint writes its entry without a condition, and a write that got no answer may be performed seconds later. EndpointTable::put() and EndpointRoster::put() took each entry of the same run for the newest.

Change: ListedRuns remembers the run of each endpoint and whether it leaves, also while its entry is missing. Leaving is final for a run. A later run, told by its start, address or service, is used at once. If the entries don't tell the runs apart, a ready entry is believed once it has outlived the time in which entries that nobody renews expire.

Related paths covered by the same class: an entry that is performed after the endpoint's removal, a full list that holds it, a peer's list, an entry of an earlier run after the removal of a later one.

--- a/libs/forward/include/forward/endpointlist.h
+++ b/libs/forward/include/forward/endpointlist.h
@@ -5,6 +5,7 @@
 #include "http/timer.h"
 #include "routing/endpointroster.h"
 #include "routing/endpointsnapshot.h"
+#include "routing/listedruns.h"
 
 #include <cstdint>
 #include <span>
@@ -20,7 +21,7 @@
  * Keeps the task's endpoints in step with the platform's list, or with a peer's copy of it while the store is unreachable.
  *
  * Without the peers, an entry that alone can't reach the store would keep dispatching to endpoints that have left, until
- * long after the store is reachable again. Lists older than the known version are ignored. Lives on one event loop, all calls on its thread; the task outlives
+ * long after the store is reachable again. Lists older than the known version are ignored, and so are entries that were written late, see ListedRuns. Lives on one event loop, all calls on its thread; the task outlives
  * it.
  *
  * @code
@@ -64,11 +65,13 @@
 private:
     bool acceptVersion(std::uint64_t version);
     void putRecords(std::span<const routing::EndpointRecord> records);
-    void logAbsence(const routing::PendingRemoval &absence, BootTime now);
+    void putRecord(const routing::EndpointRecord &record);
+    void onUnlisted(const routing::PendingRemoval &absence, BootTime now);
     void removeExpired();
 
     ForwardTask &task_;
     routing::EndpointRoster roster_;
+    routing::ListedRuns runs_;
     http::Timer removalTimer_;
     std::uint64_t version_ = 0;
     BootTime confirmedAt_;
--- a/libs/forward/src/endpointlist.cpp
+++ b/libs/forward/src/endpointlist.cpp
@@ -20,10 +20,21 @@
     return instance;
 }
 
+/** @param isKnownRun whether the entry belongs to the known run of the endpoint, which leaves, and not to an earlier one. */
+void logOutdated(const routing::EndpointRecord &record, bool isKnownRun)
+{
+    log()->warn("Outdated entry of an endpoint ignored id={} cause={} incarnation={} listed_at={} heartbeat={}",
+                record.id,
+                isKnownRun ? "the endpoint leaves" : "a later run is known",
+                record.incarnation.startedAtMs().value_or(0),
+                record.listedAt,
+                record.heartbeat);
+}
+
 } // namespace
 
 EndpointList::EndpointList(event_base *loop, ForwardTask &task, routing::EndpointRoster::Options options)
-    : task_(task), roster_(options), removalTimer_(loop, [this] { removeExpired(); })
+    : task_(task), roster_(options), runs_({.renewalInterval = options.renewalInterval}), removalTimer_(loop, [this] { removeExpired(); })
 {
 }
 
@@ -63,11 +74,11 @@
             putRecords(std::span(&kept.record, 1));
         }
         if (const auto absence = roster_.onRetainedByPeer(kept.record.id, kept.timeLeft, now)) {
-            logAbsence(*absence, now);
+            onUnlisted(*absence, now);
         }
     }
     for (const routing::PendingRemoval &absence : roster_.onFullList(ids, now)) {
-        logAbsence(absence, now);
+        onUnlisted(absence, now);
     }
     putRecords(listing.endpoints);
     if (wasEmpty) {
@@ -85,7 +96,7 @@
     const BootTime now = BootClock::now();
     for (const std::string &id : gone) {
         if (const auto absence = roster_.onEntryRemoved(id, now)) {
-            logAbsence(*absence, now);
+            onUnlisted(*absence, now);
         }
     }
     removeExpired();
@@ -103,17 +114,31 @@
 
 void EndpointList::putRecords(std::span<const routing::EndpointRecord> records)
 {
+    const BootTime now = BootClock::now();
+    isSnapshotStale_ = true; // The version may have changed although no entry has.
     for (const routing::EndpointRecord &record : records) {
-        roster_.put(record);
-        coldUntil_ = std::max(coldUntil_, record.coldUntil);
-        task_.putEndpoint(record);
+        const auto current = runs_.apply(record, now);
+        if (!current || current->isLeaving != record.isLeaving) {
+            logOutdated(record, current.has_value());
+        }
+        if (current) {
+            putRecord(*current);
+        }
     }
+}
+
+void EndpointList::putRecord(const routing::EndpointRecord &record)
+{
+    roster_.put(record);
+    coldUntil_ = std::max(coldUntil_, record.coldUntil);
+    task_.putEndpoint(record);
     isSnapshotStale_ = true;
 }
 
-/** Logs for how long an endpoint that is no longer listed still receives requests. */
-void EndpointList::logAbsence(const routing::PendingRemoval &absence, BootTime now)
+/** Also logs for how long the endpoint still receives requests. */
+void EndpointList::onUnlisted(const routing::PendingRemoval &absence, BootTime now)
 {
+    runs_.onUnlisted(absence.id);
     const auto kept = std::chrono::duration_cast<Duration>(absence.removeAt - now);
     log()->info("Endpoint no longer listed id={} kept_ms={}", absence.id, kept.count());
 }
@@ -122,6 +147,10 @@
 {
     confirmedAt_ = std::max(confirmedAt_, asOf);
     roster_.onListConfirmed(asOf, BootClock::now());
+    for (const routing::EndpointRecord &record : runs_.takeBelieved(asOf)) {
+        log()->info("Leaving endpoint stays listed as ready, using it again id={} listed_at={}", record.id, record.listedAt);
+        putRecord(record);
+    }
     removeExpired();
 }
 
--- a/libs/forward/tests/endpointlisttest.cpp
+++ b/libs/forward/tests/endpointlisttest.cpp
@@ -62,6 +62,64 @@
     BOOST_TEST(list.version() == 20U);
 }
 
+// Guards against an entry that an endpoint wrote before it announced that it leaves, and that the store performs after that.
+BOOST_AUTO_TEST_CASE(leavingEndpoint_entryWrittenLate_staysLeaving)
+{
+    list.applyDelta({.version = 11, .endpoints = {recordOf("a", true)}}, {});
+    list.applyDelta({.version = 12, .endpoints = {recordOf("a")}}, {});
+    BOOST_TEST(task.updates == (Updates{"leaving a", "leaving a"}), boost::test_tools::per_element());
+    list.applySnapshot({.version = 13, .endpoints = {recordOf("a"), recordOf("b")}}); // As after the store has lost its history.
+    BOOST_TEST(!task.hasReceived("endpoint a"));
+}
+
+// Guards against such an entry that is performed after the endpoint was removed from the list.
+BOOST_AUTO_TEST_CASE(leavingEndpoint_entryWrittenLateAfterItsRemoval_staysLeaving)
+{
+    list.applyDelta({.version = 11, .endpoints = {recordOf("a", true)}}, {});
+    list.applyDelta({.version = 12, .endpoints = {}}, std::array<std::string, 1>{"a"});
+    BOOST_TEST(task.hasReceived("gone a"));
+    list.applyDelta({.version = 13, .endpoints = {recordOf("a")}}, {});
+    BOOST_TEST(!task.hasReceived("endpoint a"));
+}
+
+// Guards against passing such an entry on to peers, which know the endpoint only from there.
+BOOST_AUTO_TEST_CASE(leavingEndpoint_entryWrittenLate_peersAreToldThatItLeaves)
+{
+    list.applyDelta({.version = 11, .endpoints = {recordOf("a", true)}}, {});
+    list.applyDelta({.version = 12, .endpoints = {recordOf("a")}}, {});
+    RecordingTask startingTask;
+    EndpointList starting(loop.get(), startingTask, {});
+    starting.applyPeerSnapshot(list.encodedSnapshot());
+    BOOST_TEST(starting.version() == 12U);
+    BOOST_TEST(startingTask.hasReceived("leaving a"));
+}
+
+// Guards against an endpoint that restarted in place, and is never used again because its entries don't name their run.
+BOOST_AUTO_TEST_CASE(leavingEndpoint_staysListedAsReady_isUsedAgain)
+{
+    list.applyDelta({.version = 11, .endpoints = {recordOf("a", true)}}, {});
+    list.applyDelta({.version = 12, .endpoints = {recordOf("a")}}, {});
+    list.confirm(BootClock::now() + 3600ms);
+    BOOST_TEST(!task.hasReceived("endpoint a"));
+    list.confirm(BootClock::now() + 5s);
+    BOOST_TEST(task.hasReceived("endpoint a"));
+}
+
+// Guards against passing a list on to peers under an older version because none of its entries is in force.
+BOOST_AUTO_TEST_CASE(document_afterOutdatedEntries_hasTheNewVersion)
+{
+    EndpointRecord later = recordOf("a");
+    later.incarnation = StatedIncarnation(2000);
+    EndpointRecord earlier = recordOf("a");
+    earlier.incarnation = StatedIncarnation(1000);
+    list.applyDelta({.version = 11, .endpoints = {later}}, {});
+    (void)list.encodedSnapshot();
+    list.applyDelta({.version = 12, .endpoints = {earlier}}, {});
+    const auto published = routing::decodeSnapshot(list.encodedSnapshot());
+    BOOST_REQUIRE(published.has_value());
+    BOOST_TEST(published->version == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(peersList_unreadable_changesNothing)
 {
     list.applyPeerSnapshot("no list");
--- /dev/null
+++ b/libs/routing/src/listedruns.cpp
@@ -0,0 +1,97 @@
+#include "routing/listedruns.h"
+
+#include <utility>
+
+namespace magnolia::routing
+{
+
+namespace
+{
+
+// The platform drops an entry after three missed renewals; one more covers the time until the removal is seen.
+constexpr int BelievedAfterRenewals = 4;
+
+// Limit on the remembered runs of endpoints that are missing from the list. A write is performed seconds late at most.
+constexpr std::size_t MaxFormerRuns = 4000;
+
+} // namespace
+
+/** Endpoints keep their service and address for a whole run. */
+bool ListedRuns::isLaterRun(const EndpointRecord &record, const Run &known)
+{
+    return known.incarnation.isEarlierThan(record.incarnation) || known.service != record.service || known.address != record.address;
+}
+
+std::optional<EndpointRecord> ListedRuns::apply(const EndpointRecord &record, BootTime now)
+{
+    const auto found = runs_.find(record.id);
+    if (found != runs_.end() && record.incarnation.isEarlierThan(found->second.incarnation)) {
+        return std::nullopt;
+    }
+    if (found == runs_.end() || isLaterRun(record, found->second)) {
+        runs_.insert_or_assign(record.id,
+                               Run{.incarnation = record.incarnation,
+                                   .service = record.service,
+                                   .address = record.address,
+                                   .isLeaving = record.isLeaving,
+                                   .isListed = true,
+                                   .doubted = {}});
+        return record;
+    }
+    Run &known = found->second;
+    known.isListed = true;
+    return judgeReadiness(record, known, now);
+}
+
+EndpointRecord ListedRuns::judgeReadiness(EndpointRecord record, Run &known, BootTime now)
+{
+    const bool isSameRun = known.incarnation.isKnown() && record.incarnation.isKnown();
+    known.incarnation = StatedIncarnation::laterOf(known.incarnation, record.incarnation);
+    if (record.isLeaving) {
+        known.isLeaving = true;
+        known.doubted.reset();
+        return record;
+    }
+    if (!known.isLeaving) {
+        return record;
+    }
+    if (!isSameRun) {
+        const BootTime since = known.doubted ? known.doubted->since : now;
+        known.doubted = DoubtedEntry{.record = record, .since = since};
+    }
+    record.isLeaving = true;
+    return record;
+}
+
+void ListedRuns::onUnlisted(std::string_view id)
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end() || !std::exchange(found->second.isListed, false)) {
+        return;
+    }
+    found->second.doubted.reset();
+    formerIds_.push_back(found->first);
+    if (formerIds_.size() <= MaxFormerRuns) {
+        return;
+    }
+    const auto oldest = runs_.find(formerIds_.front());
+    if (oldest != runs_.end() && !oldest->second.isListed) {
+        runs_.erase(oldest);
+    }
+    formerIds_.pop_front();
+}
+
+std::vector<EndpointRecord> ListedRuns::takeBelieved(BootTime asOf)
+{
+    std::vector<EndpointRecord> believed;
+    for (auto &[id, run] : runs_) {
+        if (run.doubted && run.doubted->since + BelievedAfterRenewals * options_.renewalInterval <= asOf) {
+            run.isLeaving = false;
+            believed.push_back(std::move(run.doubted->record));
+            run.doubted.reset();
+        }
+    }
+    return believed;
+}
+
+} // namespace magnolia::routing
