forward: a request isn't sent to an endpoint that left while its connection was being established

What callers could see: a request on a connection whose SYN was lost, or waited in a full queue, reaches the endpoint a second or more later, after its entry has said that it leaves, or was removed; the endpoint may exit under it.

Cause: EndpointAttempt::onConnected() asked for what the endpoint had stated in answers and for evacuations, not for the list.

Change: it asks acceptsRequests(), the question that covers list, statements, removal and evacuation; refusesRequests() has no caller left and goes.

Tests: two new cases of EndpointAttemptTest, six checks failed on the code before, pass now; forward_test, routing_test, endpoint_rest_test pass.

--- a/libs/forward/src/endpointattempt.cpp
+++ b/libs/forward/src/endpointattempt.cpp
@@ -85,11 +85,11 @@
     return true;
 }
 
-/** Sends the request, unless the endpoint has asked for rest, stated that it leaves or been evacuated while the connection was being established. */
+/** Sends the request, unless the endpoint has stopped accepting requests while the connection was being established. */
 void EndpointAttempt::onConnected()
 {
     const auto self = shared_from_this();
-    if (options_.endpoint->isEvacuated || options_.endpoint->stated->availability.refusesRequests(BootClock::now())) {
+    if (!options_.endpoint->acceptsRequests() || options_.endpoint->stated->availability.isResting(BootClock::now())) {
         finish(AttemptEnd::Withdrawn);
         return;
     }
--- a/libs/forward/src/endpointattempt.h
+++ b/libs/forward/src/endpointattempt.h
@@ -19,7 +19,7 @@
 enum class AttemptEnd : std::uint8_t {
     Complete, ///< The complete answer was received.
     NotSent, ///< No byte of the request was sent, so it did not run there.
-    Withdrawn, ///< As NotSent, because the endpoint asked for rest, stated that it leaves or was evacuated before the connection was established.
+    Withdrawn, ///< As NotSent, because the endpoint asked for rest, leaves, was removed or was evacuated before the connection was established.
     ConnectionLost, ///< The connection closed before the answer was complete.
     Invalid, ///< The received bytes are no valid answer to this request.
 };
--- a/libs/forward/tests/endpointattempttest.cpp
+++ b/libs/forward/tests/endpointattempttest.cpp
@@ -54,6 +54,15 @@
         return bytes;
     }
 
+    /** Lets the connection be established, and checks that nothing is sent on it. */
+    void checkIsWithdrawn()
+    {
+        receivedOnNext();
+        BOOST_TEST(runUntil([&] { return end.has_value(); }));
+        BOOST_TEST((end == AttemptEnd::Withdrawn));
+        BOOST_TEST(receivedOnNext().empty());
+    }
+
     int listener = socket(AF_INET, SOCK_STREAM, 0);
     int occupant = socket(AF_INET, SOCK_STREAM, 0);
     EndpointConnectionPool connections{loop.get()};
@@ -82,10 +91,7 @@
 {
     startAttempt();
     endpoint->stated->availability.onRestStated(Duration(60000), BootClock::now(), random);
-    receivedOnNext();
-    BOOST_TEST(runUntil([&] { return end.has_value(); }));
-    BOOST_TEST((end == AttemptEnd::Withdrawn));
-    BOOST_TEST(receivedOnNext().empty());
+    checkIsWithdrawn();
 }
 
 // Guards against a request that reaches an endpoint long after its evacuation because its connection was still being established.
@@ -93,10 +99,23 @@
 {
     startAttempt();
     endpoint->isEvacuated = true;
-    receivedOnNext();
-    BOOST_TEST(runUntil([&] { return end.has_value(); }));
-    BOOST_TEST((end == AttemptEnd::Withdrawn));
-    BOOST_TEST(receivedOnNext().empty());
+    checkIsWithdrawn();
+}
+
+// Guards against a request that reaches an endpoint long after its entry said that it leaves because its connection was still being established.
+BOOST_AUTO_TEST_CASE(connectionIsSlow_endpointIsListedAsLeavingMeanwhile_requestIsNotSent)
+{
+    startAttempt();
+    endpoint->record.isLeaving = true;
+    checkIsWithdrawn();
+}
+
+// Guards against a request that reaches an endpoint long after its removal from the list because its connection was still being established.
+BOOST_AUTO_TEST_CASE(connectionIsSlow_endpointIsRemovedMeanwhile_requestIsNotSent)
+{
+    startAttempt();
+    endpoint->isRemoved = true;
+    checkIsWithdrawn();
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/routing/include/routing/endpointavailability.h
+++ b/libs/routing/include/routing/endpointavailability.h
@@ -46,12 +46,6 @@
         return now < restEndsAt_;
     }
 
-    /** @return true if the endpoint leaves or rests, so that not even a probe may be sent. */
-    bool refusesRequests(BootTime now) const
-    {
-        return isLeaving_ || isResting(now);
-    }
-
     /** @return true if nothing has been stated since the endpoint last answered a request. */
     bool isUnrestricted() const
     {
