http: a peer that sends without a pause doesn't hold the event loop

What callers could see: while one endpoint answered without a pause, everything else on the entry's loop waited until 16 MB of it were read.

Cause: Connection::readable() read on as long as each read filled its buffer.

Change: four reads of 32 KB in one turn of the loop; the socket stays readable, so the rest comes in the next turns.

--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::size_t ReadBytes = 32U << 10U; ///< For one read; a burst of streamed events fits in it.
 
+// Limit on the reads in one turn of the loop, so that a peer that sends without a pause does not keep all others waiting.
+constexpr int MaxReadsPerTurn = 4;
+
 } // namespace
 
 Connection::Connection(event_base *loop, int fd, bool isConnected) : loop_(loop), fd_(fd), isConnected_(isConnected)
@@ -145,7 +148,7 @@
     const auto self = shared_from_this();
     static thread_local std::array<char, ReadBytes> buffer;
     bool mayHaveMore = true;
-    while (mayHaveMore && fd_ >= 0 && isReading_) {
+    for (int reads = 0; reads < MaxReadsPerTurn && mayHaveMore && fd_ >= 0 && isReading_; ++reads) {
         const ssize_t count = recv(fd_, buffer.data(), buffer.size(), 0);
         if (count == 0) {
             fail(ConnectionEnd::Closed);
--- a/libs/http/tests/connectiontest.cpp
+++ b/libs/http/tests/connectiontest.cpp
@@ -1,4 +1,5 @@
 #include "http/connection.h"
+#include "http/timer.h"
 #include "loopfixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -6,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <string>
@@ -118,6 +120,26 @@
     BOOST_TEST(!end.has_value());
 }
 
+// Guards against a peer that sends without a pause and keeps everything else on the loop waiting.
+BOOST_AUTO_TEST_CASE(bytes_comeFasterThanTheyAreRead_othersOnTheLoopHaveTheirTurn)
+{
+    constexpr int MaxPieces = 1000; // So that the test ends if they don't.
+    const std::string block(64U << 10U, 'x');
+    int pieces = 0;
+    connection->setCallbacks({.onData = [&](std::string_view) {
+        if (++pieces < MaxPieces) {
+            (void)::send(far, block.data(), block.size(), 0);
+        }
+    }});
+    int piecesBeforeTurn = MaxPieces;
+    Timer other(loop.get(), [&] { piecesBeforeTurn = std::min(piecesBeforeTurn, pieces); });
+    BOOST_TEST(::send(far, block.data(), block.size(), 0) > 0);
+    other.start(Duration(1));
+    BOOST_TEST(runUntil([&] { return pieces == MaxPieces; }));
+    BOOST_TEST(piecesBeforeTurn < MaxPieces);
+    BOOST_TEST(received.empty());
+}
+
 BOOST_AUTO_TEST_CASE(dial_nobodyListens_isRefusedAndNothingWasSent)
 {
     auto dialled = Connection::dial(loop.get(), SocketAddress::parse("127.0.0.1:1").value());
