forward: answers without end are cut at a bound, and their requests retried

Cause: bytes that are no answer were bounded in three places or in none. - A body over 16 MB ended the request as if its endpoint had answered: the request was not retried, and the endpoint not avoided. A stated length was not looked at. - What precedes the head of the answer, interim answers and late answers to earlier requests, was skipped without a bound. - A stream was read for as long as it sent anything, although no event was complete or new.

Change: AttemptEnd::Endless is a failure of the endpoint, which is avoided, and the request is retried where its route allows. It ends an attempt at the stated length, at 16 MB of a body, at 1 MiB before the answer's head, at 1 MiB of a stream without an event that is relayed. EventSplitter goes on searching where it had stopped: an event that comes in small pieces was searched anew for each of them. Log lines name the end "endless", magnolia_forward_endless_answers_total counts it.

--- a/libs/forward/src/endpointattempt.cpp
+++ b/libs/forward/src/endpointattempt.cpp
@@ -19,6 +19,9 @@
 // is unknown whether it ran, so the connection is closed this much earlier.
 constexpr Duration KeepAliveMargin{1000};
 
+// Limit on what precedes the end of an answer's head: interim answers, and late answers to earlier requests.
+constexpr std::size_t MaxBytesBeforeAnswer = 1U << 20U;
+
 Duration keepAliveOf(const http::HeaderList &headers)
 {
     const std::string_view value = headers.value("keep-alive");
@@ -48,6 +51,8 @@
         return "lost";
     case AttemptEnd::Invalid:
         return "spoilt";
+    case AttemptEnd::Endless:
+        return "endless";
     }
     return "spoilt";
 }
@@ -140,10 +145,15 @@
             return; // Cancelled by the callback.
         }
         bytes.remove_prefix(taken);
+        bytesBeforeAnswer_ += hasAnswer_ ? 0 : taken;
         if (parser_.isBroken()) {
             finish(AttemptEnd::Invalid);
             return;
         }
+        if (bytesBeforeAnswer_ > MaxBytesBeforeAnswer) {
+            finish(AttemptEnd::Endless);
+            return;
+        }
         if (!hadHead && parser_.hasHead()) {
             if (!handleHead()) {
                 return;
--- a/libs/forward/src/endpointattempt.h
+++ b/libs/forward/src/endpointattempt.h
@@ -6,6 +6,7 @@
 #include "http/messageparser.h"
 #include "routing/endpointtable.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -22,9 +23,10 @@
     Withdrawn, ///< As NotSent, because the endpoint asked for rest, leaves, was removed or was evacuated before the connection was established.
     ConnectionLost, ///< The connection closed before the answer was complete.
     Invalid, ///< The received bytes are no valid answer to this request.
+    Endless, ///< More bytes came than any answer to this request may have.
 };
 
-/** @return "whole", "not-sent", "withdrawn", "lost" or "spoilt". */
+/** @return "whole", "not-sent", "withdrawn", "lost", "spoilt" or "endless". */
 std::string_view toString(AttemptEnd end);
 
 /**
@@ -88,6 +90,7 @@
     Callbacks callbacks_;
     std::shared_ptr<http::Connection> connection_;
     http::MessageParser parser_{http::MessageParser::Kind::Answer};
+    std::size_t bytesBeforeAnswer_ = 0; ///< Received before the end of the answer's head.
     bool isReused_ = false;
     bool hasAnswer_ = false;
     bool isSkipping_ = false; ///< The message that is being read is not the final answer to this request.
--- a/libs/forward/src/eventsplitter.cpp
+++ b/libs/forward/src/eventsplitter.cpp
@@ -8,23 +8,6 @@
 namespace
 {
 
-/** @return the position after the empty line that ends the first event; npos if the event is incomplete. */
-std::size_t endOfEvent(std::string_view bytes)
-{
-    std::size_t line = 0;
-    while (true) {
-        const std::size_t end = bytes.find('\n', line);
-        if (end == std::string_view::npos) {
-            return end;
-        }
-        const bool isEmpty = end == line || (end == line + 1 && bytes[line] == '\r');
-        if (isEmpty) {
-            return end + 1;
-        }
-        line = end + 1;
-    }
-}
-
 std::optional<std::uint64_t> idOf(std::string_view event)
 {
     constexpr std::string_view Field = "id:";
@@ -54,21 +37,40 @@
     wholeEvents_.clear();
     std::size_t begin = 0;
     while (!hasGap_) {
-        const std::string_view left = std::string_view(partialEvent_).substr(begin);
-        const std::size_t end = endOfEvent(left);
-        if (end == std::string_view::npos) {
+        const std::size_t end = endOfEvent();
+        if (end == std::string::npos) {
             break;
         }
-        const std::string_view event = left.substr(0, end);
-        begin += end;
+        const std::string_view event = std::string_view(partialEvent_).substr(begin, end - begin);
+        begin = end;
         if (acceptEvent(event)) {
             wholeEvents_.append(event);
         }
     }
     partialEvent_.erase(0, begin);
+    lineBegin_ -= begin;
+    searchedBytes_ -= begin;
     return wholeEvents_;
 }
 
+/** @return the position after the empty line that ends the next event; npos if the event is incomplete. Continues where the last search ended. */
+std::size_t EventSplitter::endOfEvent()
+{
+    while (true) {
+        const std::size_t end = partialEvent_.find('\n', searchedBytes_);
+        if (end == std::string::npos) {
+            searchedBytes_ = partialEvent_.size();
+            return end;
+        }
+        const bool isEmpty = end == lineBegin_ || (end == lineBegin_ + 1 && partialEvent_[lineBegin_] == '\r');
+        lineBegin_ = end + 1;
+        searchedBytes_ = lineBegin_;
+        if (isEmpty) {
+            return lineBegin_;
+        }
+    }
+}
+
 /** Updates lastId() and hasGap(). @return false if the event must not be relayed. */
 bool EventSplitter::acceptEvent(std::string_view event)
 {
@@ -90,6 +92,8 @@
 void EventSplitter::resume()
 {
     partialEvent_.clear();
+    lineBegin_ = 0;
+    searchedBytes_ = 0;
     hasGap_ = false;
 }
 
--- a/libs/forward/src/eventsplitter.h
+++ b/libs/forward/src/eventsplitter.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIA_FORWARD_EVENTSPLITTER_H
 #define MAGNOLIA_FORWARD_EVENTSPLITTER_H
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -55,8 +56,11 @@
 
 private:
     bool acceptEvent(std::string_view event);
+    std::size_t endOfEvent();
 
     std::string partialEvent_; ///< Bytes of an incomplete event.
+    std::size_t lineBegin_ = 0; ///< Where the last line of partialEvent_ begins.
+    std::size_t searchedBytes_ = 0; ///< The last line does not end before this position of partialEvent_.
     std::string wholeEvents_;
     std::optional<std::uint64_t> lastId_;
     bool hasGap_ = false;
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -115,6 +115,8 @@
     void onAllResting();
     void handleFailure();
     void relayEvents(std::string_view piece);
+    bool isOverLimit(const http::MessageHead &head) const;
+    void dropIncomplete(AttemptEnd end);
     void recordPause();
     void handleStreamEnd(AttemptEnd end);
     void relayAnswer(BufferedAnswer answer);
@@ -188,6 +190,7 @@
     bool isStreaming_ = false; ///< The head of a stream has been sent to the caller.
     bool isStreamAnswer_ = false; ///< The answer of the current attempt is an event stream.
     EventSplitter splitter_;
+    std::size_t bytesWithoutEvent_ = 0; ///< Received since the last event that was relayed.
     std::uint64_t eventCount_ = 0;
     BootTime lastEventAt_; ///< When events were last relayed.
     BootClock::duration longestPause_{0}; ///< Between two relays of events.
--- a/libs/forward/src/forwardmetrics.h
+++ b/libs/forward/src/forwardmetrics.h
@@ -25,6 +25,7 @@
         , endpointCrashes(metrics.counter("magnolia_forward_ends_under_requests_total", "Requests under which an endpoint ended, each time."))
         , quarantined(metrics.counter("magnolia_forward_quarantined_total", "Requests refused since endpoints ended under their like."))
         , reportedRequests(metrics.gauge("magnolia_forward_reported_requests", "Requests that endpoints were reported to have ended under."))
+        , endlessAnswers(metrics.counter("magnolia_forward_endless_answers_total", "Answers given up since they were longer than any may be."))
         , rests(metrics.counter("magnolia_forward_rests_total", "Times that an endpoint turned a request away and asked for rest."))
         , sentInRest(metrics.counter("magnolia_forward_sent_in_rest_total", "Requests sent to endpoints that had asked for rest until later."))
         , sentToLeaving(metrics.counter("magnolia_forward_sent_to_leaving_total", "Requests sent to endpoints that had stated that they leave."))
@@ -58,6 +59,7 @@
     observe::Counter &endpointCrashes;
     observe::Counter &quarantined;
     observe::Gauge &reportedRequests;
+    observe::Counter &endlessAnswers;
     observe::Counter &rests;
     observe::Counter &sentInRest;
     observe::Counter &sentToLeaving;
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -1,6 +1,7 @@
 // Answers to the attempts of a ForwardedRequest, and what they mean for it.
 #include "forwardedrequest.h"
 
+#include "headervalues.h"
 #include "retryafter.h"
 #include "statuscodes.h"
 
@@ -22,6 +23,9 @@
 // An answer that is not a stream is buffered in memory until it is complete. Larger ones are treated as an error.
 constexpr std::size_t MaxAnswerBytes = 16U << 20U;
 
+// Limit on what a stream may send without an event that is relayed: an event in progress, and those that the caller already has.
+constexpr std::size_t MaxBytesWithoutEvent = 1U << 20U;
+
 // If no other endpoint began a successful answer for this long, the whole service may not be running. Requests at a group that lost a rank stall for longer
 // than that before they are rejected.
 constexpr Duration ServingPeriod{1000};
@@ -87,10 +91,18 @@
         if (lastReceivedAt_ < answerDue()) { // Otherwise this process was late, not the service.
             context_.endpoints.onStreamStarted(service_, lastReceivedAt_ - sentAt_, lastReceivedAt_);
         }
-        splitter_.resume();
+    } else if (isOverLimit(head)) {
+        onAttemptEnd(AttemptEnd::Endless);
     }
 }
 
+/** Whether the answer states a length that is not buffered. */
+bool ForwardedRequest::isOverLimit(const http::MessageHead &head) const
+{
+    const auto length = parseNumber<std::uint64_t>(head.headers.value("content-length"));
+    return length && *length > MaxAnswerBytes && request_.head.method != "HEAD";
+}
+
 void ForwardedRequest::onAnswerBody(std::string_view piece)
 {
     const auto self = shared_from_this();
@@ -102,9 +114,7 @@
     }
     incoming_.body.append(piece);
     if (incoming_.body.size() > MaxAnswerBytes) {
-        mayHaveRun_ = true;
-        endAttempt(AttemptOutcome::Answered);
-        fail(StatusBadGateway, "the answer is over the limit");
+        onAttemptEnd(AttemptEnd::Endless);
     }
 }
 
@@ -115,6 +125,11 @@
         onAttemptEnd(AttemptEnd::Invalid);
         return;
     }
+    bytesWithoutEvent_ = events.empty() ? bytesWithoutEvent_ + piece.size() : 0;
+    if (bytesWithoutEvent_ > MaxBytesWithoutEvent) {
+        onAttemptEnd(AttemptEnd::Endless);
+        return;
+    }
     if (events.empty()) {
         return;
     }
@@ -178,6 +193,9 @@
     if (attempt_ == nullptr) {
         return;
     }
+    if (end != AttemptEnd::Complete) {
+        dropIncomplete(end);
+    }
     if (isStreamAnswer_) {
         handleStreamEnd(end);
         return;
@@ -201,6 +219,16 @@
     endUnsuccessfully(toString(end), StatusBadGateway);
 }
 
+/** Frees what was received of an incomplete answer. */
+void ForwardedRequest::dropIncomplete(AttemptEnd end)
+{
+    if (end == AttemptEnd::Endless) {
+        context_.metrics.endlessAnswers.add();
+    }
+    incoming_.body = {};
+    splitter_.resume();
+}
+
 /** Dispatches the request again after an attempt in which nothing was sent. @return false if enough endpoints were dialled, or the time is up. */
 bool ForwardedRequest::dispatchUnsent(AttemptEnd end)
 {
--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -131,6 +131,8 @@
     silenceWhenSent_ = endpoint->inFlight == 0 ? BootClock::duration(0) : sentAt_ - endpoint->silentSince();
     incoming_ = {};
     isStreamAnswer_ = false;
+    bytesWithoutEvent_ = 0;
+    splitter_.resume();
     const bool isAtMostOnce = route_->kind == RouteKind::AtMostOnce;
     attempt_ = std::make_shared<EndpointAttempt>(EndpointAttempt::Options{.loop = context_.loop,
                                                                           .connections = &context_.connections,
