--- a/libs/forward/tests/endlessanswertest.cpp
+++ b/libs/forward/tests/endlessanswertest.cpp
@@ -27,7 +27,7 @@
 
 /** An entry between a sound endpoint and others that answer without end. */
 struct EndlessAnswerFixture : ForwardFixture {
-    EndlessAnswerFixture()
+    EndlessAnswerFixture() : ForwardFixture("/live")
     {
         putRoutes();
         addEndpoint([this](int) {
@@ -136,6 +136,18 @@
     checkCallersAreServed({.begin = streamHead("r1"), .repeated = chunk("id: 0\ndata: " + Filler + "\n\n")}, "stream");
 }
 
+// Guards against reading the answer to a liveness check until the check's time is up, and holding it in memory.
+BOOST_AUTO_TEST_CASE(answerToALivenessCheck_withoutEnd_isClosed)
+{
+    const EndlessPeer &peer = addEndless(
+        {.begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", .repeated = chunk(Filler), .only = "GET /live"});
+    task->removeEndpoint("e1");
+    addCaller(request("stream"));
+    BOOST_TEST(runUntil([&] { return peer.requests() > 0; }, Duration(1400)));
+    runFor(500ms);
+    BOOST_TEST(peer.mostBytes() < MaxUselessBytes);
+}
+
 // Guards against memory that grows with the number of answers without end.
 BOOST_AUTO_TEST_CASE(manyAnswers_withoutEndAtOneMoment_memoryIsBoundedAndCallersAreServed)
 {
--- a/libs/forward/tests/endlesspeer.h
+++ b/libs/forward/tests/endlesspeer.h
@@ -21,10 +21,12 @@
     struct Script {
         std::string begin{}; ///< Sent once.
         std::string repeated{}; ///< Sent again and again.
+        std::string only{}; ///< Requests that begin otherwise get no answer.
     };
 
     EndlessPeer(event_base *loop, Script script) : loop_(loop), script_(std::move(script))
     {
+        http::ignoreBrokenPipes();
         while (block_.size() < MinBlockBytes) {
             block_ += script_.repeated;
         }
@@ -98,11 +100,13 @@
     {
         auto *peer = static_cast<EndlessPeer *>(self);
         evbuffer *input = bufferevent_get_input(stream);
-        evbuffer_drain(input, evbuffer_get_length(input));
+        std::string received(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, received.data(), received.size());
         Answer &answer = peer->answers_.at(stream);
-        if (std::exchange(answer.hasBegun, true)) {
+        if (answer.hasBegun || !received.starts_with(peer->script_.only)) {
             return;
         }
+        answer.hasBegun = true;
         ++peer->requests_;
         answer.since = MonoClock::now();
         bufferevent_write(stream, peer->script_.begin.data(), peer->script_.begin.size());
