forward: requests that wait on a connection are served without recursion, a few in one turn

Cause: a request that is answered at once ends within startRequest(); finishAnswer() called parse() for the next one, a level of recursion for each. All that the backlog held was served in one turn of the loop, and the answers were queued whether the caller read them or not.

Change: parse() is a loop that is not entered twice. It starts 16 requests in one turn of the loop, and none while 256 KB of answers wait for the caller. Reading stops on a full backlog whether or not a request is in progress.

--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -18,6 +18,13 @@
 // Maximum number of bytes buffered while a request is in progress; beyond it reading from the caller is paused.
 constexpr std::size_t MaxBacklogBytes = 64U << 10U;
 
+// Limit on the requests of one caller that are started in one turn of the loop, so that a backlog of requests which are answered at once does not keep others
+// waiting.
+constexpr int MaxRequestsPerTurn = 16;
+
+// With more bytes than this queued for the caller, no further request of it is started.
+constexpr std::size_t MaxUnreadBytes = 256U << 10U;
+
 // While reading is paused, the loop does not tell that the caller has disconnected.
 constexpr Duration CloseCheckInterval{100};
 
@@ -42,6 +49,7 @@
     , onEnd_(std::move(onEnd))
     , timer_(context.loop, [this] { onTimer(); })
     , closeCheckTimer_(context.loop, [this] { checkForClose(); })
+    , turnTimer_(context.loop, [this] { parse(); })
 {
     context_.metrics.callers.add(1);
 }
@@ -60,12 +68,7 @@
     connection_->setCallbacks({
         .onData = [this](std::string_view bytes) { onBytes(bytes); },
         .onEnd = [this](http::ConnectionEnd) { onConnectionEnd(); },
-        .onDrained =
-            [this] {
-                if (activeRequest_ != nullptr) {
-                    activeRequest_->onCallerDrained();
-                }
-            },
+        .onDrained = [this] { onDrained(); },
     });
     timer_.start(limits().idleTimeout);
 }
@@ -91,14 +94,27 @@
         backlogSince_ = BootClock::now();
     }
     backlog_.append(bytes);
+    parse();
+    updateReading();
+}
+
+/** Reads on unless the backlog is full. */
+void CallerSession::updateReading()
+{
+    const bool isFull = backlog_.size() > MaxBacklogBytes;
+    connection_->setReading(!isFull);
+    if (isFull) {
+        closeCheckTimer_.start(CloseCheckInterval);
+    }
+}
+
+void CallerSession::onDrained()
+{
     if (activeRequest_ != nullptr) {
-        if (backlog_.size() > MaxBacklogBytes) {
-            connection_->setReading(false);
-            closeCheckTimer_.start(CloseCheckInterval);
-        }
-        return;
+        activeRequest_->onCallerDrained();
+    } else {
+        parse();
     }
-    parse();
 }
 
 void CallerSession::checkForClose()
@@ -113,37 +129,61 @@
     closeCheckTimer_.start(CloseCheckInterval);
 }
 
+/** Starts the requests of the backlog. Not recursive, although requests that are answered at once end within startRequest(). */
 void CallerSession::parse()
 {
-    while (activeRequest_ == nullptr && !hasEnded_ && connection_->isOpen() && !backlog_.empty()) {
-        if (!parser_.hasBegun()) {
-            requestSince_ = std::exchange(backlogSince_, std::nullopt).value_or(BootClock::now());
-            timer_.start(limits().headerTimeout);
-        }
-        const std::size_t taken = parser_.feed(backlog_, [this](std::string_view piece) { body_.append(piece); });
-        backlog_.erase(0, taken);
-        if (!parser_.hasHead() && parser_.headBytes() > limits().maxHeaderBytes) {
-            rejectAndClose(StatusHeadersTooLarge, "the headers are over the limit");
-            return;
-        }
-        if (parser_.isBroken()) {
-            rejectAndClose(StatusBadRequest, "the bytes are no request");
-            return;
-        }
-        if (parser_.hasHead() && !isHeadChecked_ && !checkHead()) {
-            return;
-        }
-        if (body_.size() > limits().maxBodyBytes) {
-            rejectAndClose(StatusTooLarge, "the body is over the limit");
-            return;
-        }
-        if (parser_.isComplete()) {
-            backlogSince_ = backlog_.empty() ? std::nullopt : std::optional(BootClock::now());
-            startRequest();
-        }
+    if (isParsing_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    isParsing_ = true;
+    int started = 0;
+    while (mayParse() && started < MaxRequestsPerTurn) {
+        started += parseNext() ? 1 : 0;
+    }
+    isParsing_ = false;
+    if (mayParse()) {
+        turnTimer_.start(Duration(0));
     }
 }
 
+bool CallerSession::mayParse() const
+{
+    return activeRequest_ == nullptr && !hasEnded_ && connection_->isOpen() && !backlog_.empty() && connection_->pendingBytes() <= MaxUnreadBytes;
+}
+
+/** @return true if a request was started. */
+bool CallerSession::parseNext()
+{
+    if (!parser_.hasBegun()) {
+        requestSince_ = std::exchange(backlogSince_, std::nullopt).value_or(BootClock::now());
+        timer_.start(limits().headerTimeout);
+    }
+    const std::size_t taken = parser_.feed(backlog_, [this](std::string_view piece) { body_.append(piece); });
+    backlog_.erase(0, taken);
+    if (!parser_.hasHead() && parser_.headBytes() > limits().maxHeaderBytes) {
+        rejectAndClose(StatusHeadersTooLarge, "the headers are over the limit");
+        return false;
+    }
+    if (parser_.isBroken()) {
+        rejectAndClose(StatusBadRequest, "the bytes are no request");
+        return false;
+    }
+    if (parser_.hasHead() && !isHeadChecked_ && !checkHead()) {
+        return false;
+    }
+    if (body_.size() > limits().maxBodyBytes) {
+        rejectAndClose(StatusTooLarge, "the body is over the limit");
+        return false;
+    }
+    if (!parser_.isComplete()) {
+        return false;
+    }
+    backlogSince_ = backlog_.empty() ? std::nullopt : std::optional(BootClock::now());
+    startRequest();
+    return true;
+}
+
 /** Checks the head against the limits. @return false if the request was rejected. */
 bool CallerSession::checkHead()
 {
@@ -271,11 +311,9 @@
         }
         return;
     }
-    connection_->setReading(true);
     timer_.start(limits().idleTimeout);
-    if (!backlog_.empty()) {
-        parse();
-    }
+    parse();
+    updateReading();
 }
 
 void CallerSession::onConnectionEnd()
@@ -305,6 +343,7 @@
     }
     timer_.stop();
     closeCheckTimer_.stop();
+    turnTimer_.stop();
     connection_->close();
     if (const auto onEnd = std::exchange(onEnd_, nullptr)) {
         onEnd(this);
--- a/libs/forward/src/callersession.h
+++ b/libs/forward/src/callersession.h
@@ -50,11 +50,15 @@
 private:
     void onBytes(std::string_view bytes);
     void parse();
+    bool mayParse() const;
+    bool parseNext();
+    void updateReading();
     bool checkHead();
     void startRequest();
     void rejectAndClose(int status, std::string_view reason);
     void finishAnswer();
     void onConnectionEnd();
+    void onDrained();
     void onTimer();
     void checkForClose();
     void close();
@@ -67,6 +71,8 @@
     http::MessageParser parser_{http::MessageParser::Kind::Request};
     http::Timer timer_; ///< Timeout for reading a request, or for an idle connection.
     http::Timer closeCheckTimer_; ///< Runs while reading is paused during a request.
+    http::Timer turnTimer_; ///< Runs while the backlog waits for the next turn of the loop.
+    bool isParsing_ = false;
     std::string backlog_; ///< Bytes received after the request in progress.
     std::string body_;
     std::optional<BootTime> backlogSince_; ///< When the first byte of the backlog arrived; nothing if no request was in progress then.
@@ -74,7 +80,6 @@
     bool isHeadChecked_ = false;
     bool isHead_ = false; ///< The request in progress is a HEAD.
     bool keepsAlive_ = true;
-    bool isChunked_ = false; ///< The current answer is a stream, sent with chunked transfer coding.
     bool hasEnded_ = false;
     std::string streamHead_; ///< Head of a stream, held back to be written together with the first piece.
     std::shared_ptr<ForwardedRequest> activeRequest_;
