forward: a caller's connection ends once its last answer is taken, and is busy until then

Cause: a session counted as idle once its request was done with, whatever was queued for the caller, and Connection closed itself behind the last byte without telling its owner, so that nobody released the session. No time bounded a caller that reads nothing.

Change: closeWhenSent() ends in onEnd; a session is busy while bytes are queued; its idle timer goes on while the caller acknowledges anything, and closes the connection with a log line else. Bytes behind the last request are discarded. A connection gives back the memory of a large output.

Ruled out: taking the queue of this process for what the caller has not read. The system tells that a socket takes more only once a third of its buffer is free: a caller that reads slowly was cut off in the test; so the progress counts the bytes that the system holds as well.

--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -1,6 +1,7 @@
 #include "callersession.h"
 
 #include "http/errorbody.h"
+#include "observe/log.h"
 #include "statuscodes.h"
 
 #include <http_parser.h>
@@ -80,7 +81,7 @@
 
 bool CallerSession::closeIfIdle()
 {
-    if (activeRequest_ != nullptr || parser_.hasBegun() || !backlog_.empty()) {
+    if (isBusy() || parser_.hasBegun() || !backlog_.empty()) {
         return false;
     }
     close();
@@ -90,6 +91,9 @@
 void CallerSession::onBytes(std::string_view bytes)
 {
     const auto self = shared_from_this();
+    if (isClosing_) {
+        return;
+    }
     if (activeRequest_ != nullptr && backlog_.empty()) {
         backlogSince_ = BootClock::now();
     }
@@ -149,7 +153,8 @@
 
 bool CallerSession::mayParse() const
 {
-    return activeRequest_ == nullptr && !hasEnded_ && connection_->isOpen() && !backlog_.empty() && connection_->pendingBytes() <= MaxUnreadBytes;
+    const bool isServing = !isClosing_ && !hasEnded_ && connection_->isOpen();
+    return isServing && activeRequest_ == nullptr && !backlog_.empty() && connection_->pendingBytes() <= MaxUnreadBytes;
 }
 
 /** @return true if a request was started. */
@@ -231,10 +236,7 @@
     connection_->send(headOf(status, headers) + body);
     context_.log.logEnd(
         {.requestId = parser_.head().headers.value(context_.options.protocol.requestId), .status = status, .outcome = "refused", .cause = reason});
-    connection_->closeWhenSent();
-    if (!connection_->isOpen()) {
-        close();
-    }
+    closeWhenTaken();
 }
 
 std::string CallerSession::headOf(int status, const http::HeaderList &headers) const
@@ -305,17 +307,33 @@
     const auto self = shared_from_this();
     activeRequest_.reset();
     if (!keepsAlive_) {
-        connection_->closeWhenSent();
-        if (!connection_->isOpen()) {
-            close();
-        }
+        closeWhenTaken();
         return;
     }
-    timer_.start(limits().idleTimeout);
+    waitWhileIdle();
     parse();
     updateReading();
 }
 
+/** Ends the session once the caller has taken the last answer, or has stopped taking it. */
+void CallerSession::closeWhenTaken()
+{
+    isClosing_ = true;
+    backlog_ = {};
+    connection_->closeWhenSent();
+    if (!connection_->isOpen()) {
+        close();
+        return;
+    }
+    waitWhileIdle();
+}
+
+void CallerSession::waitWhileIdle()
+{
+    unreadBytes_ = connection_->unacknowledgedBytes();
+    timer_.start(limits().idleTimeout);
+}
+
 void CallerSession::onConnectionEnd()
 {
     const auto self = shared_from_this();
@@ -328,11 +346,18 @@
 void CallerSession::onTimer()
 {
     const auto self = shared_from_this();
-    const bool isReading = parser_.hasBegun();
+    const bool isReading = parser_.hasBegun() && !isClosing_;
     if (isReading) {
         rejectAndClose(StatusRequestTimeout, "the request did not come in time");
         return;
     }
+    if (pendingBytes() > 0 && connection_->unacknowledgedBytes() < unreadBytes_) {
+        waitWhileIdle(); // The caller takes its answer, slowly.
+        return;
+    }
+    if (pendingBytes() > 0) {
+        observe::logger("forward")->info("Caller stopped reading its answer, connection closed unread_bytes={}", pendingBytes());
+    }
     close();
 }
 
--- a/libs/forward/src/callersession.h
+++ b/libs/forward/src/callersession.h
@@ -31,12 +31,13 @@
 
     void start();
 
-    /** Closes the connection if no request is in progress or partly received. @return true if it was closed. */
+    /** Closes the connection if no request is in progress or partly received, and the caller has taken all answers. @return true if it was closed. */
     bool closeIfIdle();
 
+    /** Whether a request is in progress, or the caller has not taken its answer yet. */
     bool isBusy() const
     {
-        return activeRequest_ != nullptr;
+        return activeRequest_ != nullptr || pendingBytes() > 0;
     }
 
     void sendAnswer(int status, const http::HeaderList &headers, std::string_view body) override;
@@ -57,6 +58,8 @@
     void startRequest();
     void rejectAndClose(int status, std::string_view reason);
     void finishAnswer();
+    void closeWhenTaken();
+    void waitWhileIdle();
     void onConnectionEnd();
     void onDrained();
     void onTimer();
@@ -80,7 +83,9 @@
     bool isHeadChecked_ = false;
     bool isHead_ = false; ///< The request in progress is a HEAD.
     bool keepsAlive_ = true;
+    bool isClosing_ = false; ///< The last answer is queued.
     bool hasEnded_ = false;
+    std::size_t unreadBytes_ = 0; ///< Not acknowledged by the caller when timer_ was last started for an idle connection.
     std::string streamHead_; ///< Head of a stream, held back to be written together with the first piece.
     std::shared_ptr<ForwardedRequest> activeRequest_;
 };
--- a/libs/forward/tests/callersessiontest.cpp
+++ b/libs/forward/tests/callersessiontest.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace magnolia::forward
@@ -16,6 +17,10 @@
 const std::string ShortRequest = "GET / HTTP/1.1\r\n\r\n"; // Leads to no route.
 const std::string NotFound = "HTTP/1.1 404";
 
+const std::string LargeBody(15U << 20U, 'x');
+constexpr int ReceiveBytes = 32U << 10U; ///< So that the entry sees soon what its caller reads.
+constexpr Duration IdleTimeout = 300ms; // As in the routes of the fixture.
+
 std::size_t countOf(const std::string &text, const std::string &part)
 {
     std::size_t count = 0;
@@ -40,6 +45,38 @@
         putRoutes();
     }
 
+    /** Sends a request whose answer is larger than the sockets hold. The caller does not read yet. */
+    RawCaller &addCallerOfLargeAnswer(std::string_view headers)
+    {
+        addEndpoint([](int) { return RawPeer::Answer{.bytes = wholeAnswer(200, "r1", LargeBody)}; });
+        callers.push_back(std::make_unique<RawCaller>(loop.get(), task->callersAddress(), ReceiveBytes));
+        RawCaller &caller = *callers.back();
+        caller.send(request("repeatable", "GET", headers));
+        caller.pauseReading();
+        BOOST_REQUIRE(runUntil([this] { return valueOf("magnolia_forward_answers_total") == 1; }));
+        return caller;
+    }
+
+    /** Lets the caller read a small part of the answer. */
+    void readSome(RawCaller &caller)
+    {
+        constexpr std::size_t Enough = 256U << 10U;
+        const std::size_t before = caller.received().size();
+        caller.resumeReading();
+        runUntil([&] { return caller.received().size() > before + Enough; }, IdleTimeout);
+        caller.pauseReading();
+    }
+
+    bool isWhole(const RawCaller &caller) const
+    {
+        return caller.received().starts_with("HTTP/1.1 200") && caller.received().ends_with(LargeBody);
+    }
+
+    double openConnections() const
+    {
+        return valueOf("magnolia_forward_caller_connections");
+    }
+
     double valueOf(const std::string &metric) const
     {
         const std::string name = "\n" + metric + " ";
@@ -102,6 +139,55 @@
     BOOST_TEST(valueOf("magnolia_forward_requests_total") > before);
 }
 
+// Guards against sessions that stay in memory after their last answer, because the socket did not take it at once.
+BOOST_AUTO_TEST_CASE(answer_takenSlowly_callerAskedToClose_sessionEnds)
+{
+    RawCaller &caller = addCallerOfLargeAnswer("Connection: close\r\n");
+    BOOST_TEST(openConnections() == 1);
+    caller.resumeReading();
+    BOOST_TEST(runUntil([&] { return caller.isClosed(); }));
+    BOOST_TEST(isWhole(caller));
+    BOOST_TEST(openConnections() == 0);
+}
+
+// Guards against holding an answer for a caller that reads nothing.
+BOOST_AUTO_TEST_CASE(answer_neverRead_sessionEndsAtABound)
+{
+    addCallerOfLargeAnswer("Connection: close\r\n");
+    runFor(3 * IdleTimeout);
+    BOOST_TEST(openConnections() == 0);
+}
+
+// Guards against cutting off an answer that its caller reads slowly, as if the connection were idle.
+BOOST_AUTO_TEST_CASE(answer_takenForLongerThanTheIdleTimeout_isWhole)
+{
+    RawCaller &caller = addCallerOfLargeAnswer({});
+    for (int pause = 0; pause < 10 && !isWhole(caller); ++pause) {
+        runFor(IdleTimeout / 3);
+        readSome(caller);
+    }
+    caller.resumeReading();
+    BOOST_TEST(runUntil([&] { return isWhole(caller); }, 10 * IdleTimeout));
+}
+
+// Guards against a planned stop that cuts off answers which callers are still reading.
+BOOST_AUTO_TEST_CASE(answer_takenSlowly_entryIsStopped_isWhole)
+{
+    RawCaller &caller = addCallerOfLargeAnswer("Connection: close\r\n");
+    task->drain();
+    const MonoTime closesIdle = MonoClock::now() + 3300ms; // When the entry has begun to close connections without work.
+    while (MonoClock::now() < closesIdle) {
+        runFor(IdleTimeout * 5 / 6);
+        readSome(caller);
+    }
+    BOOST_TEST(!hasStopped);
+    BOOST_TEST(!isWhole(caller));
+    caller.resumeReading();
+    BOOST_TEST(runUntil([&] { return caller.isClosed() || isWhole(caller); }));
+    BOOST_TEST(isWhole(caller));
+    BOOST_TEST(runUntil([&] { return hasStopped; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::forward
--- a/libs/http/include/http/connection.h
+++ b/libs/http/include/http/connection.h
@@ -59,7 +59,7 @@
     void setCallbacks(Callbacks callbacks);
     void send(std::string_view bytes);
 
-    /** Closes once all queued output has left. */
+    /** Closes once all queued output has left: at once if none is queued, else onEnd follows. */
     void closeWhenSent();
     void close();
 
@@ -89,6 +89,9 @@
         return output_.size() - outputBegin_;
     }
 
+    /** @return the bytes that the far end has not acknowledged: those of pendingBytes() and those that the system holds, if it tells. */
+    std::size_t unacknowledgedBytes() const;
+
 private:
     Connection(event_base *loop, int fd, bool isConnected);
 
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -1,6 +1,8 @@
 #include "http/connection.h"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,6 +18,8 @@
 
 constexpr std::size_t ReadBytes = 32U << 10U; ///< For one read; a burst of streamed events fits in it.
 
+constexpr std::size_t MaxIdleOutputBytes = 64U << 10U; ///< Memory that a connection keeps for further output.
+
 // Limit on the reads in one turn of the loop, so that a peer that sends without a pause does not keep all others waiting.
 constexpr int MaxReadsPerTurn = 4;
 
@@ -143,6 +147,13 @@
     return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+std::size_t Connection::unacknowledgedBytes() const
+{
+    int held = 0;
+    const bool isKnown = fd_ >= 0 && ioctl(fd_, SIOCOUTQ, &held) == 0 && held > 0;
+    return pendingBytes() + (isKnown ? static_cast<std::size_t>(held) : 0);
+}
+
 void Connection::readable()
 {
     const auto self = shared_from_this();
@@ -198,7 +209,7 @@
         return;
     }
     if (closesWhenSent_) {
-        close();
+        fail(ConnectionEnd::Closed);
         return;
     }
     if (callbacks_.onDrained) {
@@ -219,6 +230,9 @@
     }
     output_.clear();
     outputBegin_ = 0;
+    if (output_.capacity() > MaxIdleOutputBytes) {
+        output_.shrink_to_fit();
+    }
     return true;
 }
 
--- a/libs/http/tests/rawpeer.h
+++ b/libs/http/tests/rawpeer.h
@@ -219,9 +219,15 @@
 class RawCaller
 {
 public:
-    RawCaller(event_base *loop, std::string_view address) : stream_(bufferevent_socket_new(loop, -1, BEV_OPT_CLOSE_ON_FREE))
+    /** @param receiveBytes what the system may hold of what it has not read; 0: as usual. */
+    RawCaller(event_base *loop, std::string_view address, int receiveBytes = 0)
     {
         const SocketAddress target = SocketAddress::parse(address).value();
+        const int fd = socket(target.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        if (receiveBytes > 0) {
+            (void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof(receiveBytes));
+        }
+        stream_.reset(bufferevent_socket_new(loop, fd, BEV_OPT_CLOSE_ON_FREE));
         bufferevent_setcb(stream_.get(), &RawCaller::onRead, nullptr, &RawCaller::onEvent, this);
         bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
         bufferevent_socket_connect(stream_.get(), target.get(), static_cast<int>(target.length));
