--- a/libs/forward/include/forward/endpointlist.h
+++ b/libs/forward/include/forward/endpointlist.h
@@ -21,8 +21,8 @@
  * Keeps the task's endpoints in step with the platform's list, or with a peer's copy of it while the store is unreachable.
  *
  * Without the peers, an entry that alone can't reach the store would keep dispatching to endpoints that have left, until
- * long after the store is reachable again. Lists older than the known version are ignored, and so are entries that were written late, see ListedRuns. Lives on one event loop, all calls on its thread; the task outlives
- * it.
+ * long after the store is reachable again. Lists older than the known version are ignored, and so are entries that were written late, see ListedRuns. Lives on
+ * one event loop, all calls on its thread; the task outlives it.
  *
  * @code
  * EndpointList list(loop, *task, {.renewalInterval = Duration(1200)});
--- a/libs/forward/src/livenessmonitor.cpp
+++ b/libs/forward/src/livenessmonitor.cpp
@@ -155,8 +155,7 @@
     options_.metrics.livenessChecks.add();
     if (monitored.client == nullptr) {
         monitored.client = std::make_unique<http::HttpClient>(
-            options_.loop,
-            http::HttpClient::Options{.address = monitored.endpoint->record.address, .maxConnections = 1, .maxBodyBytes = MaxAnswerBytes});
+            options_.loop, http::HttpClient::Options{.address = monitored.endpoint->record.address, .maxConnections = 1, .maxBodyBytes = MaxAnswerBytes});
     }
     monitored.client->send({.path = options_.path, .timeout = CheckTimeout}, [this, id](const Result<http::Response> &answer) { onCheckEnd(id, answer); });
 }
--- a/libs/forward/tests/endlessanswertest.cpp
+++ b/libs/forward/tests/endlessanswertest.cpp
@@ -139,8 +139,7 @@
 // Guards against reading the answer to a liveness check until the check's time is up, and holding it in memory.
 BOOST_AUTO_TEST_CASE(answerToALivenessCheck_withoutEnd_isClosed)
 {
-    const EndlessPeer &peer = addEndless(
-        {.begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", .repeated = chunk(Filler), .only = "GET /live"});
+    const EndlessPeer &peer = addEndless({.begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", .repeated = chunk(Filler), .only = "GET /live"});
     task->removeEndpoint("e1");
     addCaller(request("stream"));
     BOOST_TEST(runUntil([&] { return peer.requests() > 0; }, Duration(1400)));
