--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -330,7 +330,7 @@
 
 void CallerSession::waitWhileIdle()
 {
-    unreadBytes_ = connection_->unacknowledgedBytes();
+    unreadBytes_ = pendingBytes() > 0 ? connection_->unacknowledgedBytes() : 0;
     timer_.start(limits().idleTimeout);
 }
 
--- a/libs/forward/src/endpointlist.cpp
+++ b/libs/forward/src/endpointlist.cpp
@@ -147,7 +147,7 @@
 {
     confirmedAt_ = std::max(confirmedAt_, asOf);
     roster_.onListConfirmed(asOf, BootClock::now());
-    for (const routing::EndpointRecord &record : runs_.takeBelieved(asOf)) {
+    for (const routing::EndpointRecord &record : runs_.takeConfirmed(asOf)) {
         log()->info("Leaving endpoint stays listed as ready, using it again id={} listed_at={}", record.id, record.listedAt);
         putRecord(record);
     }
--- a/libs/routing/include/routing/listedruns.h
+++ b/libs/routing/include/routing/listedruns.h
@@ -20,14 +20,14 @@
  *
  * Endpoints write their entries without a condition, so a write may be performed long after a newer one. An endpoint that leaves does so until its run ends: an
  * entry of the same run that names it as ready is outdated. If the entries don't tell the runs apart, one that names a leaving endpoint as ready is outdated,
- * or of an endpoint that started anew. Only a live endpoint renews its entry, so the latter is believed once the entry has outlived the time after which
+ * or of an endpoint that started anew. Only a live endpoint renews its entry, so the latter is confirmed once the entry has outlived the time after which
  * entries that are not renewed expire.
  *
  * What is known of an endpoint outlives its entry. No I/O and no timers. Lives as long as the list of one entry; not thread-safe.
  *
  * @code
  * if (const auto current = runs.apply(record, now)) { table.put(*current); }
- * for (const EndpointRecord &record : runs.takeBelieved(asOf)) { table.put(record); } // after each confirmation of the list
+ * for (const EndpointRecord &record : runs.takeConfirmed(asOf)) { table.put(record); } // after each confirmation of the list
  * @endcode
  */
 class ListedRuns
@@ -45,12 +45,12 @@
     /** The endpoint is missing from the list. */
     void onUnlisted(std::string_view id);
 
-    /** @param asOf the list was confirmed as of then. @return the entries that were taken for outdated and are believed from now on. */
-    std::vector<EndpointRecord> takeBelieved(BootTime asOf);
+    /** @param asOf the list was confirmed as of then. @return the entries that were taken for outdated and are in force from now on. */
+    std::vector<EndpointRecord> takeConfirmed(BootTime asOf);
 
 private:
     /** An entry that names a leaving endpoint as ready and may be of a later run. */
-    struct DoubtedEntry {
+    struct UnconfirmedEntry {
         EndpointRecord record;
         BootTime since; ///< The list has named the endpoint as ready since then.
     };
@@ -61,7 +61,7 @@
         std::string address;
         bool isLeaving = false;
         bool isListed = true;
-        std::optional<DoubtedEntry> doubted;
+        std::optional<UnconfirmedEntry> unconfirmed;
     };
 
     static bool isLaterRun(const EndpointRecord &record, const Run &known);
--- a/libs/routing/src/listedruns.cpp
+++ b/libs/routing/src/listedruns.cpp
@@ -9,7 +9,7 @@
 {
 
 // The platform drops an entry after three missed renewals; one more covers the time until the removal is seen.
-constexpr int BelievedAfterRenewals = 4;
+constexpr int ConfirmedAfterRenewals = 4;
 
 // Limit on the remembered runs of endpoints that are missing from the list. A write is performed seconds late at most.
 constexpr std::size_t MaxFormerRuns = 4000;
@@ -35,7 +35,7 @@
                                    .address = record.address,
                                    .isLeaving = record.isLeaving,
                                    .isListed = true,
-                                   .doubted = {}});
+                                   .unconfirmed = {}});
         return record;
     }
     Run &known = found->second;
@@ -49,15 +49,15 @@
     known.incarnation = StatedIncarnation::laterOf(known.incarnation, record.incarnation);
     if (record.isLeaving) {
         known.isLeaving = true;
-        known.doubted.reset();
+        known.unconfirmed.reset();
         return record;
     }
     if (!known.isLeaving) {
         return record;
     }
     if (!isSameRun) {
-        const BootTime since = known.doubted ? known.doubted->since : now;
-        known.doubted = DoubtedEntry{.record = record, .since = since};
+        const BootTime since = known.unconfirmed ? known.unconfirmed->since : now;
+        known.unconfirmed = UnconfirmedEntry{.record = record, .since = since};
     }
     record.isLeaving = true;
     return record;
@@ -69,7 +69,7 @@
     if (found == runs_.end() || !std::exchange(found->second.isListed, false)) {
         return;
     }
-    found->second.doubted.reset();
+    found->second.unconfirmed.reset();
     formerIds_.push_back(found->first);
     if (formerIds_.size() <= MaxFormerRuns) {
         return;
@@ -81,17 +81,17 @@
     formerIds_.pop_front();
 }
 
-std::vector<EndpointRecord> ListedRuns::takeBelieved(BootTime asOf)
+std::vector<EndpointRecord> ListedRuns::takeConfirmed(BootTime asOf)
 {
-    std::vector<EndpointRecord> believed;
+    std::vector<EndpointRecord> confirmed;
     for (auto &[id, run] : runs_) {
-        if (run.doubted && run.doubted->since + BelievedAfterRenewals * options_.renewalInterval <= asOf) {
+        if (run.unconfirmed && run.unconfirmed->since + ConfirmedAfterRenewals * options_.renewalInterval <= asOf) {
             run.isLeaving = false;
-            believed.push_back(std::move(run.doubted->record));
-            run.doubted.reset();
+            confirmed.push_back(std::move(run.unconfirmed->record));
+            run.unconfirmed.reset();
         }
     }
-    return believed;
+    return confirmed;
 }
 
 } // namespace magnolia::routing
--- a/libs/routing/tests/listedrunstest.cpp
+++ b/libs/routing/tests/listedrunstest.cpp
@@ -48,7 +48,7 @@
     BOOST_TEST(!isLeavingAfter(ready(FirstRun)));
     BOOST_TEST(isLeavingAfter(leaving(FirstRun)));
     BOOST_TEST(isLeavingAfter(ready(FirstRun)));
-    BOOST_TEST(runs.takeBelieved(Start + 1h).empty());
+    BOOST_TEST(runs.takeConfirmed(Start + 1h).empty());
 }
 
 // Guards against a late entry that is performed when the endpoint's last one is already removed.
@@ -90,28 +90,28 @@
 }
 
 // Guards against an endpoint that restarted under its id, and is never used again because its entries don't name their run.
-BOOST_AUTO_TEST_CASE(runsNotTold_readyEntryOutlivesItsExpiry_isBelieved)
+BOOST_AUTO_TEST_CASE(runsNotTold_readyEntryOutlivesItsExpiry_isConfirmed)
 {
     (void)runs.apply(leaving(), Start);
     BOOST_TEST(isLeavingAfter(ready(), Start + 1s));
     BOOST_TEST(isLeavingAfter(ready(), Start + 3s));
-    BOOST_TEST(runs.takeBelieved(Start + 5799ms).empty());
-    const auto believed = runs.takeBelieved(Start + 5800ms);
-    BOOST_REQUIRE(believed.size() == 1U);
-    BOOST_TEST(!believed.front().isLeaving);
+    BOOST_TEST(runs.takeConfirmed(Start + 5799ms).empty());
+    const auto confirmed = runs.takeConfirmed(Start + 5800ms);
+    BOOST_REQUIRE(confirmed.size() == 1U);
+    BOOST_TEST(!confirmed.front().isLeaving);
     BOOST_TEST(!isLeavingAfter(ready(), Start + 6s));
 }
 
 // Guards against believing a late entry because of the time before the endpoint's next heartbeat or its removal.
-BOOST_AUTO_TEST_CASE(runsNotTold_readyEntryIsOverwrittenOrRemoved_isNotBelieved)
+BOOST_AUTO_TEST_CASE(runsNotTold_readyEntryIsOverwrittenOrRemoved_isNotConfirmed)
 {
     (void)runs.apply(leaving(), Start);
     (void)runs.apply(ready(), Start + 1s);
     (void)runs.apply(leaving(), Start + 2s);
-    BOOST_TEST(runs.takeBelieved(Start + 1h).empty());
+    BOOST_TEST(runs.takeConfirmed(Start + 1h).empty());
     (void)runs.apply(ready(), Start + 3s);
     runs.onUnlisted("a");
-    BOOST_TEST(runs.takeBelieved(Start + 1h).empty());
+    BOOST_TEST(runs.takeConfirmed(Start + 1h).empty());
 }
 
 // Guards against a live endpoint that is kept unused because its entry had expired.
