--- a/libs/settings/include/settings/sections.h
+++ b/libs/settings/include/settings/sections.h
@@ -140,7 +140,7 @@
 
 /** [memory]: of the process. */
 struct MemorySettings {
-    std::size_t limitMegabytes = 256; ///< Beyond it the process is ended; a part of it bounds what is held for callers.
+    double limitMebibytes = 256; ///< Beyond it the process is ended; a part of it bounds the answers that are held.
 };
 
 /** [grace]: from the order to stop to the end of the process. */
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -190,7 +190,7 @@
 
 void readSection(TableReader &reader, MemorySettings &out)
 {
-    reader.readSize("limit_mb", out.limitMegabytes, {.least = 64, .most = 1'000'000});
+    reader.readNumber("limit_mb", out.limitMebibytes, {.least = 16, .most = 1'000'000});
 }
 
 void readSection(TableReader &reader, GraceSettings &out)
