forward: one name for what a request holds and for what a caller has not acknowledged; a test of truthful refusals

The names only: buffers_ stood for the account and for one request's part of it, unread bytes for those that are queued and those that are not acknowledged. No decision changes.

--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -236,7 +236,7 @@
     connection_->send(headOf(status, headers) + body);
     context_.log.logEnd(
         {.requestId = parser_.head().headers.value(context_.options.protocol.requestId), .status = status, .outcome = "refused", .cause = reason});
-    closeWhenTaken();
+    closeAfterAnswer();
 }
 
 std::string CallerSession::headOf(int status, const http::HeaderList &headers) const
@@ -307,7 +307,7 @@
     const auto self = shared_from_this();
     activeRequest_.reset();
     if (!keepsAlive_) {
-        closeWhenTaken();
+        closeAfterAnswer();
         return;
     }
     waitWhileIdle();
@@ -316,7 +316,7 @@
 }
 
 /** Ends the session once the caller has taken the last answer, or has stopped taking it. */
-void CallerSession::closeWhenTaken()
+void CallerSession::closeAfterAnswer()
 {
     isClosing_ = true;
     backlog_ = {};
@@ -330,7 +330,7 @@
 
 void CallerSession::waitWhileIdle()
 {
-    unreadBytes_ = pendingBytes() > 0 ? connection_->unacknowledgedBytes() : 0;
+    unacknowledgedBytes_ = pendingBytes() > 0 ? connection_->unacknowledgedBytes() : 0;
     timer_.start(limits().idleTimeout);
 }
 
@@ -351,7 +351,7 @@
         rejectAndClose(StatusRequestTimeout, "the request did not come in time");
         return;
     }
-    if (pendingBytes() > 0 && connection_->unacknowledgedBytes() < unreadBytes_) {
+    if (pendingBytes() > 0 && connection_->unacknowledgedBytes() < unacknowledgedBytes_) {
         waitWhileIdle(); // The caller takes its answer, slowly.
         return;
     }
--- a/libs/forward/src/callersession.h
+++ b/libs/forward/src/callersession.h
@@ -58,7 +58,7 @@
     void startRequest();
     void rejectAndClose(int status, std::string_view reason);
     void finishAnswer();
-    void closeWhenTaken();
+    void closeAfterAnswer();
     void waitWhileIdle();
     void onConnectionEnd();
     void onDrained();
@@ -85,7 +85,7 @@
     bool keepsAlive_ = true;
     bool isClosing_ = false; ///< The last answer is queued.
     bool hasEnded_ = false;
-    std::size_t unreadBytes_ = 0; ///< Not acknowledged by the caller when timer_ was last started for an idle connection.
+    std::size_t unacknowledgedBytes_ = 0; ///< Not acknowledged by the caller when timer_ was last started for an idle connection.
     std::string streamHead_; ///< Head of a stream, held back to be written together with the first piece.
     std::shared_ptr<ForwardedRequest> activeRequest_;
 };
--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -45,7 +45,7 @@
     , updateWaitEnds_(request_.receivedAt + std::min(MaxUpdateWait, callerDeadlines_.timeLimit() / UpdateWaitShare))
     , timer_(context.loop, [this] { onTimer(); })
     , spans_(context.options.tracer)
-    , buffers_(context.answerBuffers, [this] { onAttemptEnd(AttemptEnd::Endless); })
+    , heldAnswers_(context.answerBuffers, [this] { onAttemptEnd(AttemptEnd::Endless); })
 {
     context_.metrics.requests.add();
     context_.metrics.inProgress.add(1);
@@ -546,7 +546,7 @@
     writer_ = nullptr;
     wait_.cancel();
     timer_.stop();
-    buffers_.resize(0);
+    heldAnswers_.resize(0);
     if (slotTicket_) {
         slots_->cancel(*std::exchange(slotTicket_, std::nullopt));
     }
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -116,9 +116,9 @@
     void onAllResting();
     void handleFailure();
     void relayEvents(std::string_view piece);
-    void relayWhole(std::string_view events);
+    void sendEvents(std::string_view events);
     bool isOverLimit(const http::MessageHead &head) const;
-    void updateBuffers();
+    void updateHeldAnswers();
     void dropIncomplete(AttemptEnd end);
     void recordPause();
     void handleStreamEnd(AttemptEnd end);
@@ -186,7 +186,7 @@
     std::uint32_t unstartedWhenSent_ = 0; ///< Streams of this instance at the endpoint without an answer head when this one was sent.
     BootClock::duration silenceWhenSent_{0}; ///< How long the endpoint had sent nothing, with requests in progress, when this one was sent.
     BufferedAnswer incoming_;
-    AnswerBuffers::Share buffers_; ///< Memory of incoming_, fallback_ and splitter_.
+    AnswerBuffers::Share heldAnswers_; ///< Of incoming_, fallback_ and splitter_.
     std::optional<BufferedAnswer> fallback_; ///< An endpoint's error answer, relayed if no later attempt succeeds.
 
     bool hasUncancellableAttempt_ = false; ///< An unreachable endpoint may still run an earlier attempt, which can't be cancelled.
--- a/libs/forward/src/livenessmonitor.cpp
+++ b/libs/forward/src/livenessmonitor.cpp
@@ -20,7 +20,7 @@
 constexpr Duration RecheckInterval{500}; ///< Between two checks of an unresponsive endpoint.
 constexpr Duration TimerInterval{50};
 
-constexpr std::size_t MaxAnswerBytes = 64U << 10U; ///< Only the head of an answer to a check is of interest.
+constexpr std::size_t MaxCheckAnswerBytes = 64U << 10U; ///< Only the head of an answer to a check is of interest.
 
 // After a longer delay of this process itself a missing answer says nothing about the endpoint.
 constexpr Duration MaxOwnDelay{150};
@@ -155,7 +155,7 @@
     options_.metrics.livenessChecks.add();
     if (monitored.client == nullptr) {
         monitored.client = std::make_unique<http::HttpClient>(
-            options_.loop, http::HttpClient::Options{.address = monitored.endpoint->record.address, .maxConnections = 1, .maxBodyBytes = MaxAnswerBytes});
+            options_.loop, http::HttpClient::Options{.address = monitored.endpoint->record.address, .maxConnections = 1, .maxBodyBytes = MaxCheckAnswerBytes});
     }
     monitored.client->send({.path = options_.path, .timeout = CheckTimeout}, [this, id](const Result<http::Response> &answer) { onCheckEnd(id, answer); });
 }
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -20,7 +20,7 @@
 // With more bytes than this queued for the caller, reading from the endpoint is paused.
 constexpr std::size_t MaxPendingBytes = 256U << 10U;
 
-// An answer that is not a stream is buffered in memory until it is complete. Larger ones are treated as an error.
+// An answer that is not a stream is buffered in memory until it is complete. A larger one counts as an answer without end.
 constexpr std::size_t MaxAnswerBytes = 16U << 20U;
 
 // Limit on what a stream may send without an event that is relayed: an event in progress, and those that the caller already has.
@@ -96,7 +96,7 @@
     }
 }
 
-/** Whether the answer states a length that is not buffered. */
+/** Whether the answer states a body that is larger than any that is buffered. */
 bool ForwardedRequest::isOverLimit(const http::MessageHead &head) const
 {
     const auto length = parseNumber<std::uint64_t>(head.headers.value("content-length"));
@@ -117,13 +117,13 @@
         onAttemptEnd(AttemptEnd::Endless);
         return;
     }
-    updateBuffers();
+    updateHeldAnswers();
 }
 
 /** Accounts for the bytes that are held. May end the attempt. */
-void ForwardedRequest::updateBuffers()
+void ForwardedRequest::updateHeldAnswers()
 {
-    buffers_.resize(incoming_.body.size() + (fallback_ ? fallback_->body.size() : 0) + splitter_.bufferedBytes());
+    heldAnswers_.resize(incoming_.body.size() + (fallback_ ? fallback_->body.size() : 0) + splitter_.bufferedBytes());
 }
 
 void ForwardedRequest::relayEvents(std::string_view piece)
@@ -139,15 +139,15 @@
         return;
     }
     if (!events.empty()) {
-        relayWhole(events);
+        sendEvents(events);
     }
     if (attempt_ != nullptr) {
-        updateBuffers(); // Comes last: the events count as relayed, so they must not be lost if this ends the attempt.
+        updateHeldAnswers(); // Comes last: the events count as relayed, so they must not be lost if this ends the attempt.
     }
 }
 
-/** Relays complete events. */
-void ForwardedRequest::relayWhole(std::string_view events)
+/** Sends complete events to the caller. */
+void ForwardedRequest::sendEvents(std::string_view events)
 {
     if (!isStreaming_) {
         isStreaming_ = true;
@@ -243,7 +243,7 @@
     }
     incoming_.body = {};
     splitter_.resume();
-    updateBuffers();
+    updateHeldAnswers();
 }
 
 /** Dispatches the request again after an attempt in which nothing was sent. @return false if enough endpoints were dialled, or the time is up. */
--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -133,7 +133,7 @@
     isStreamAnswer_ = false;
     bytesWithoutEvent_ = 0;
     splitter_.resume();
-    updateBuffers();
+    updateHeldAnswers();
     const bool isAtMostOnce = route_->kind == RouteKind::AtMostOnce;
     attempt_ = std::make_shared<EndpointAttempt>(EndpointAttempt::Options{.loop = context_.loop,
                                                                           .connections = &context_.connections,
--- a/libs/forward/tests/endlessanswertest.cpp
+++ b/libs/forward/tests/endlessanswertest.cpp
@@ -62,6 +62,7 @@
         }
         runUntil([&] { return peer.open() == 0; }, Duration(2000));
         BOOST_TEST(peer.requests() > 0);
+        BOOST_TEST(static_cast<std::size_t>(peer.requests()) <= CallerCount - MinServed); // It is avoided.
         BOOST_TEST(served() >= MinServed);
         BOOST_TEST(peer.longestAnswer().count() <= MaxUselessReading.count());
     }
@@ -172,6 +173,18 @@
     BOOST_TEST(std::all_of(callers.begin(), callers.end(), isWhole));
 }
 
+// Guards against running a request twice, or telling its caller that it has not run, because its answer had no end.
+BOOST_AUTO_TEST_CASE(bodyWithoutEnd_requestMayRunOnce_callerIsToldThatItMayHaveRun)
+{
+    const EndlessPeer::Script script{.begin = Head + "\r\n", .repeated = Filler};
+    const EndlessPeer &one = addEndless(script);
+    const EndlessPeer &other = addEndless(script);
+    task->removeEndpoint("e1");
+    const std::string answer = answerTo(request("at-most-once", "POST", "Content-Length: 0\r\nConnection: close\r\n"), "}");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 502"));
+    BOOST_TEST(one.requests() + other.requests() == 1);
+}
+
 // Guards against giving up sound answers because others have no end.
 BOOST_AUTO_TEST_CASE(manyAnswers_withoutEndAtOneEndpoint_callersAreServed)
 {
