http: a connection sends a large body without copying it, and can be shut down for sending only

Needed for bounding the memory of callers' bodies: each was copied into the message of its attempt and again into the output of the connection. A large one is now kept by the connection until it has left; a small one still leaves in one call with its head. shutdownWhenSent() lets the far end read the last answer although it is still sending: a close with unread bytes is a reset, which may destroy the answer on its way.

Tests: four cases of ConnectionTest (order, memory given back, shutdown).

--- a/libs/http/include/http/connection.h
+++ b/libs/http/include/http/connection.h
@@ -59,8 +59,14 @@
     void setCallbacks(Callbacks callbacks);
     void send(std::string_view bytes);
 
+    /** Sends a head and a body. A large body is not copied, but kept until it has left. */
+    void send(std::string_view head, std::shared_ptr<const std::string> body);
+
     /** Closes once all queued output has left: at once if none is queued, else onEnd follows. */
     void closeWhenSent();
+
+    /** Tells the far end, once all queued output has left, that no more follows. Reading goes on. */
+    void shutdownWhenSent();
     void close();
 
     /** Closes it so that bytes which have not arrived yet are dropped: nobody may act on them any more. */
@@ -86,7 +92,7 @@
     }
     std::size_t pendingBytes() const
     {
-        return output_.size() - outputBegin_;
+        return output_.size() - outputBegin_ + sharedBytes();
     }
 
     /** @return the bytes that the far end has not acknowledged: those of pendingBytes() and those that the system holds, if it tells. */
@@ -97,7 +103,15 @@
 
     void readable();
     void writable();
+    void queue(std::string_view bytes);
+    void startSending();
     bool flush();
+    std::string_view nextOutput() const;
+    void onSent(std::size_t bytes);
+    std::size_t sharedBytes() const
+    {
+        return shared_ == nullptr ? 0 : shared_->size() - sharedBegin_;
+    }
     void fail(ConnectionEnd end);
     void updateWriteEvent();
 
@@ -106,11 +120,14 @@
     bool isConnected_;
     bool hasSent_ = false;
     bool closesWhenSent_ = false;
+    bool shutsDownWhenSent_ = false;
     bool isReading_ = true;
     bool isWriteEventOn_ = false;
     Callbacks callbacks_;
     std::string output_;
     std::size_t outputBegin_ = 0; ///< What stands before it has left.
+    std::shared_ptr<const std::string> shared_; ///< Leaves after output_; null if there is none.
+    std::size_t sharedBegin_ = 0; ///< As outputBegin_, of shared_.
     EventPtr readEvent_;
     EventPtr writeEvent_;
 };
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::size_t ReadBytes = 32U << 10U; ///< For one read; a burst of streamed events fits in it.
 
+constexpr std::size_t MaxCopiedBodyBytes = 64U << 10U; ///< Up to this size a body leaves in one call with its head.
+
 constexpr std::size_t MaxIdleOutputBytes = 64U << 10U; ///< Memory that a connection keeps for further output.
 
 // Limit on the reads in one turn of the loop, so that a peer that sends without a pause does not keep all others waiting.
@@ -76,7 +78,37 @@
     if (fd_ < 0) {
         return;
     }
+    queue(bytes);
+    startSending();
+}
+
+void Connection::send(std::string_view head, std::shared_ptr<const std::string> body)
+{
+    if (fd_ < 0) {
+        return;
+    }
+    queue(head);
+    if (body != nullptr && body->size() > MaxCopiedBodyBytes) {
+        shared_ = std::move(body);
+        sharedBegin_ = 0;
+    } else if (body != nullptr) {
+        output_.append(*body);
+    }
+    startSending();
+}
+
+/** Appends to the output. A shared body that has not left is copied then, since only one can be queued. */
+void Connection::queue(std::string_view bytes)
+{
+    if (sharedBytes() > 0) {
+        output_.append(std::string_view(*shared_).substr(sharedBegin_));
+    }
+    shared_.reset();
     output_.append(bytes);
+}
+
+void Connection::startSending()
+{
     if (isConnected_ && !isWriteEventOn_) {
         if (!flush()) {
             // Told by the loop: the callback must not come from within a call of its owner.
@@ -99,6 +131,17 @@
     closesWhenSent_ = true;
 }
 
+void Connection::shutdownWhenSent()
+{
+    if (fd_ < 0) {
+        return;
+    }
+    shutsDownWhenSent_ = pendingBytes() > 0;
+    if (!shutsDownWhenSent_) {
+        ::shutdown(fd_, SHUT_WR);
+    }
+}
+
 void Connection::close()
 {
     if (fd_ < 0) {
@@ -106,6 +149,7 @@
     }
     readEvent_.reset();
     writeEvent_.reset();
+    shared_.reset();
     ::close(std::exchange(fd_, -1));
 }
 
@@ -208,6 +252,9 @@
     if (pendingBytes() > 0) {
         return;
     }
+    if (std::exchange(shutsDownWhenSent_, false)) {
+        ::shutdown(fd_, SHUT_WR);
+    }
     if (closesWhenSent_) {
         fail(ConnectionEnd::Closed);
         return;
@@ -221,21 +268,42 @@
 bool Connection::flush()
 {
     while (pendingBytes() > 0) {
-        const ssize_t count = ::send(fd_, output_.data() + outputBegin_, pendingBytes(), MSG_NOSIGNAL);
+        const std::string_view next = nextOutput();
+        const ssize_t count = ::send(fd_, next.data(), next.size(), MSG_NOSIGNAL);
         if (count < 0) {
             return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
         }
         hasSent_ = true;
-        outputBegin_ += static_cast<std::size_t>(count);
-    }
-    output_.clear();
-    outputBegin_ = 0;
-    if (output_.capacity() > MaxIdleOutputBytes) {
-        output_.shrink_to_fit();
+        onSent(static_cast<std::size_t>(count));
     }
     return true;
 }
 
+std::string_view Connection::nextOutput() const
+{
+    if (outputBegin_ < output_.size()) {
+        return std::string_view(output_).substr(outputBegin_);
+    }
+    return std::string_view(*shared_).substr(sharedBegin_);
+}
+
+/** Frees what has left. */
+void Connection::onSent(std::size_t bytes)
+{
+    std::size_t &begin = outputBegin_ < output_.size() ? outputBegin_ : sharedBegin_;
+    begin += bytes;
+    if (outputBegin_ == output_.size()) {
+        output_.clear();
+        outputBegin_ = 0;
+        if (output_.capacity() > MaxIdleOutputBytes) {
+            output_.shrink_to_fit();
+        }
+    }
+    if (sharedBytes() == 0) {
+        shared_.reset();
+    }
+}
+
 void Connection::fail(ConnectionEnd end)
 {
     close();
--- a/libs/http/tests/connectiontest.cpp
+++ b/libs/http/tests/connectiontest.cpp
@@ -109,6 +109,69 @@
     BOOST_TEST(count == much.size());
 }
 
+BOOST_AUTO_TEST_CASE(sendWithBody_largerThanTheSocketTakes_arrivesInOrderAndIsFreed)
+{
+    const std::string expected = "head" + std::string(4U << 20U, 'x') + "next";
+    auto body = std::make_shared<const std::string>(4U << 20U, 'x');
+    const std::weak_ptr<const std::string> freed = body;
+    connection->send("head", std::move(body));
+    std::string arrived;
+    const auto receiveUntil = [&](std::size_t bytes) {
+        return runUntil([&] {
+            arrived += readFar();
+            return arrived.size() >= bytes;
+        });
+    };
+    BOOST_TEST(connection->pendingBytes() > 0);
+    BOOST_TEST(receiveUntil(expected.size() - 4));
+    BOOST_TEST(freed.expired());
+    connection->send("next");
+    BOOST_TEST(receiveUntil(expected.size()));
+    BOOST_TEST((arrived == expected));
+}
+
+BOOST_AUTO_TEST_CASE(sendWithBody_moreIsSentBeforeItHasLeft_arrivesInOrder)
+{
+    const auto body = std::make_shared<const std::string>(1U << 20U, 'x');
+    const std::string expected = "one" + *body + "two" + *body + "three";
+    connection->send("one", body);
+    connection->send("two", body);
+    connection->send("three");
+    std::string arrived;
+    BOOST_TEST(runUntil([&] {
+        arrived += readFar();
+        return arrived.size() == expected.size();
+    }));
+    BOOST_TEST((arrived == expected));
+    BOOST_TEST(connection->pendingBytes() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(close_bodyQueued_isFreed)
+{
+    auto body = std::make_shared<const std::string>(4U << 20U, 'x');
+    const std::weak_ptr<const std::string> freed = body;
+    connection->send("head", std::move(body));
+    BOOST_TEST(!freed.expired());
+    connection->close();
+    BOOST_TEST(freed.expired());
+}
+
+BOOST_AUTO_TEST_CASE(shutdownWhenSent_outputQueued_farEndReadsItAndMaySendOn)
+{
+    const std::string much(1U << 20U, 'x');
+    connection->send(much);
+    connection->shutdownWhenSent();
+    std::size_t count = 0;
+    BOOST_TEST(runUntil([&] {
+        count += readFar().size();
+        char next = 0;
+        return count == much.size() && recv(far, &next, 1, MSG_PEEK) == 0;
+    }));
+    BOOST_TEST(::send(far, "rest", 4, 0) == 4);
+    BOOST_TEST(runUntil([&] { return received == "rest"; }));
+    BOOST_TEST(connection->isOpen());
+}
+
 BOOST_AUTO_TEST_CASE(callback_closesTheConnection_noOtherFollows)
 {
     connection->setCallbacks({.onData = [this](std::string_view) { connection->close(); }, .onEnd = [this](ConnectionEnd ended) { end = ended; }});
