forward: large bodies of requests share a quarter of the memory; beyond it they wait briefly or are refused

Cause: the bytes of one request were bounded, their sum was not, and each body was held up to three times: as received, in the message of its attempt, and in the output of the connection.

Change: BodyBudget, a decision without a network. A body over 64 KB reserves its whole size before it is read; beyond a quarter of the memory bodies wait in order, unread, for a second at most. The wait is predicted from the time for which bodies were held; who would wait longer is refused at once as not run, with Retry-After. A body is held once.

EndpointAttemptTest names the head as the option is named now; nothing else in it changed.

--- a/libs/forward/src/admission.cpp
+++ b/libs/forward/src/admission.cpp
@@ -32,7 +32,7 @@
                                    .host = request.head.headers.value("host"),
                                    .target = request.head.target,
                                    .organisation = organisation == nullptr ? std::string_view() : std::string_view(organisation->name),
-                                   .body = request.body});
+                                   .body = request.bodyBytes()});
 }
 
 } // namespace
--- a/libs/forward/src/answerwriter.h
+++ b/libs/forward/src/answerwriter.h
@@ -5,6 +5,7 @@
 #include "http/messageparser.h"
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -14,8 +15,13 @@
 /** A complete request of a caller. */
 struct CallerRequest {
     http::MessageHead head;
-    std::string body;
+    std::shared_ptr<const std::string> body{}; ///< Null if it has none.
     BootTime receivedAt; ///< When the first byte arrived.
+
+    std::string_view bodyBytes() const
+    {
+        return body == nullptr ? std::string_view() : std::string_view(*body);
+    }
 };
 
 /** Writes the answer to one request: either one call of sendAnswer(), or one stream. */
--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -1,12 +1,14 @@
 #include "callersession.h"
 
-#include "http/errorbody.h"
+#include "localanswer.h"
 #include "observe/log.h"
+#include "retryafter.h"
 #include "statuscodes.h"
 
 #include <http_parser.h>
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -26,6 +28,12 @@
 // With more bytes than this queued for the caller, no further request of it is started.
 constexpr std::size_t MaxUnreadBytes = 256U << 10U;
 
+// Memory is reserved for bodies that are larger. As much is buffered for any connection.
+constexpr std::size_t MaxUnreservedBytes = MaxBacklogBytes;
+
+// How long the rest of a rejected request is read and dropped. With unread bytes the close would be a reset, which may destroy the answer on its way.
+constexpr Duration LingerTime{2000};
+
 // While reading is paused, the loop does not tell that the caller has disconnected.
 constexpr Duration CloseCheckInterval{100};
 
@@ -102,11 +110,11 @@
     updateReading();
 }
 
-/** Reads on unless the backlog is full. */
+/** Reads on unless the backlog is full, or the body in progress waits for memory. */
 void CallerSession::updateReading()
 {
     const bool isFull = backlog_.size() > MaxBacklogBytes;
-    connection_->setReading(!isFull);
+    connection_->setReading(!isFull && !isWaitingForMemory_);
     if (isFull) {
         closeCheckTimer_.start(CloseCheckInterval);
     }
@@ -153,7 +161,7 @@
 
 bool CallerSession::mayParse() const
 {
-    const bool isServing = !isClosing_ && !hasEnded_ && connection_->isOpen();
+    const bool isServing = !isClosing_ && !hasEnded_ && !isWaitingForMemory_ && connection_->isOpen();
     return isServing && activeRequest_ == nullptr && !backlog_.empty() && connection_->pendingBytes() <= MaxUnreadBytes;
 }
 
@@ -164,7 +172,7 @@
         requestSince_ = std::exchange(backlogSince_, std::nullopt).value_or(BootClock::now());
         timer_.start(limits().headerTimeout);
     }
-    const std::size_t taken = parser_.feed(backlog_, [this](std::string_view piece) { body_.append(piece); });
+    const std::size_t taken = parser_.feed(backlog_, [this](std::string_view piece) { appendBody(piece); });
     backlog_.erase(0, taken);
     if (!parser_.hasHead() && parser_.headBytes() > limits().maxHeaderBytes) {
         rejectAndClose(StatusHeadersTooLarge, "the headers are over the limit");
@@ -177,11 +185,14 @@
     if (parser_.hasHead() && !isHeadChecked_ && !checkHead()) {
         return false;
     }
-    if (body_.size() > limits().maxBodyBytes) {
+    if (bodyBytes() > limits().maxBodyBytes) {
         rejectAndClose(StatusTooLarge, "the body is over the limit");
         return false;
     }
     if (!parser_.isComplete()) {
+        if (needsReservation()) {
+            reserveBody();
+        }
         return false;
     }
     backlogSince_ = backlog_.empty() ? std::nullopt : std::optional(BootClock::now());
@@ -193,7 +204,7 @@
 bool CallerSession::checkHead()
 {
     isHeadChecked_ = true;
-    if (parser_.headBytes() > limits().maxHeaderBytes + body_.size() + backlog_.size()) {
+    if (parser_.headBytes() > limits().maxHeaderBytes + bodyBytes() + backlog_.size()) {
         rejectAndClose(StatusHeadersTooLarge, "the headers are over the limit");
         return false;
     }
@@ -206,37 +217,116 @@
         rejectAndClose(StatusTooLarge, "the body is over the limit");
         return false;
     }
-    if (http::equalsIgnoringCase(headers.value("expect"), "100-continue") && !parser_.isComplete()) {
-        connection_->send(Continue);
+    statedBodyBytes_ = bytes;
+    if (!parser_.isComplete() && !needsReservation()) {
+        readBody();
     }
     return true;
 }
 
+void CallerSession::appendBody(std::string_view piece)
+{
+    if (body_ == nullptr) {
+        body_ = std::make_shared<RequestBody>();
+    }
+    body_->bytes.append(piece);
+}
+
+std::size_t CallerSession::bodyBytes() const
+{
+    return body_ == nullptr ? 0 : body_->bytes.size();
+}
+
+/** Whether memory has to be reserved before more of the body is read. */
+bool CallerSession::needsReservation() const
+{
+    const bool isReserved = body_ != nullptr && body_->share != nullptr;
+    return !isReserved && parser_.hasHead() && std::max(statedBodyBytes_, bodyBytes()) > MaxUnreservedBytes;
+}
+
+/** Reserves memory for the whole body, or for the largest one if its length is not stated. */
+void CallerSession::reserveBody()
+{
+    if (body_ == nullptr) {
+        body_ = std::make_shared<RequestBody>();
+    }
+    body_->share = std::make_unique<BodyBudget::Share>(context_.bodyBudget, [this] { onBodyGranted(); });
+    switch (body_->share->reserve(statedBodyBytes_ > 0 ? statedBodyBytes_ : limits().maxBodyBytes)) {
+    case BodyBudget::Outcome::Granted:
+        readBody();
+        break;
+    case BodyBudget::Outcome::Waits:
+        context_.metrics.bodiesDelayed.add();
+        isWaitingForMemory_ = true;
+        timer_.start(MaxBodyWait);
+        updateReading();
+        break;
+    case BodyBudget::Outcome::Denied:
+        rejectBody();
+        break;
+    }
+}
+
+void CallerSession::onBodyGranted()
+{
+    isWaitingForMemory_ = false;
+    timer_.start(limits().idleTimeout);
+    readBody();
+    updateReading();
+    turnTimer_.start(Duration(0));
+}
+
+/** Prepares for the rest of the body, which the caller may send now. */
+void CallerSession::readBody()
+{
+    if (statedBodyBytes_ > MaxUnreservedBytes) {
+        body_->bytes.reserve(statedBodyBytes_); // Otherwise it takes up to three times its size while it grows.
+    }
+    if (http::equalsIgnoringCase(parser_.head().headers.value("expect"), "100-continue")) {
+        connection_->send(Continue);
+    }
+}
+
+void CallerSession::rejectBody()
+{
+    context_.metrics.bodiesDenied.add();
+    rejectAndClose(StatusUnavailable, "there is no memory for the body", RetryAfterBodies);
+}
+
 void CallerSession::startRequest()
 {
     timer_.stop();
-    CallerRequest request{.head = std::move(parser_.head()), .body = std::exchange(body_, {}), .receivedAt = requestSince_};
+    const auto body = std::exchange(body_, nullptr);
+    if (body != nullptr && body->share != nullptr) {
+        body->share->shrink(body->bytes.size());
+    }
+    CallerRequest request{.head = std::move(parser_.head()), .receivedAt = requestSince_};
+    if (body != nullptr) {
+        request.body = std::shared_ptr<const std::string>(body, &body->bytes);
+    }
     keepsAlive_ = request.head.keepAlive;
     isHead_ = request.head.method == "HEAD";
     isHeadChecked_ = false;
+    statedBodyBytes_ = 0;
     parser_.reset();
     activeRequest_ = std::make_shared<ForwardedRequest>(context_, *this, std::move(request));
     const auto started = activeRequest_;
     started->start();
 }
 
-void CallerSession::rejectAndClose(int status, std::string_view reason)
+void CallerSession::rejectAndClose(int status, std::string_view reason, std::optional<Duration> retryAfter)
 {
-    const Failure failure{.code = ErrorCode::BadInput, .verdict = Verdict::NotRun, .detail = std::string(reason), .retryAfter = {}};
-    http::HeaderList headers;
-    headers.add("Content-Type", "application/json");
-    const std::string body = http::errorBody(failure);
+    const std::string requestId(parser_.head().headers.value(context_.options.protocol.requestId));
+    const LocalAnswer answer{.status = status, .retryAfter = retryAfter, .cause = reason, .requestId = requestId};
+    const std::string body = bodyOf(answer);
+    http::HeaderList headers = headersOf(answer, context_.options.protocol);
     headers.add("Content-Length", std::to_string(body.size()));
     keepsAlive_ = false;
+    isWaitingForMemory_ = false;
+    body_.reset();
     connection_->send(headOf(status, headers) + body);
-    context_.log.logEnd(
-        {.requestId = parser_.head().headers.value(context_.options.protocol.requestId), .status = status, .outcome = "refused", .cause = reason});
-    closeAfterAnswer();
+    context_.log.logEnd({.requestId = requestId, .status = status, .outcome = "refused", .cause = reason});
+    closeAfterRejection();
 }
 
 std::string CallerSession::headOf(int status, const http::HeaderList &headers) const
@@ -328,6 +418,16 @@
     waitWhileIdle();
 }
 
+/** Ends the session once the caller has sent the rest of its request, which is dropped, and closed the connection. */
+void CallerSession::closeAfterRejection()
+{
+    isClosing_ = true;
+    backlog_ = {};
+    connection_->shutdownWhenSent();
+    connection_->setReading(true);
+    timer_.start(LingerTime);
+}
+
 void CallerSession::waitWhileIdle()
 {
     unacknowledgedBytes_ = pendingBytes() > 0 ? connection_->unacknowledgedBytes() : 0;
@@ -346,6 +446,10 @@
 void CallerSession::onTimer()
 {
     const auto self = shared_from_this();
+    if (isWaitingForMemory_) {
+        rejectBody();
+        return;
+    }
     const bool isReading = parser_.hasBegun() && !isClosing_;
     if (isReading) {
         rejectAndClose(StatusRequestTimeout, "the request did not come in time");
--- a/libs/forward/src/callersession.h
+++ b/libs/forward/src/callersession.h
@@ -5,6 +5,7 @@
 #include "forwardedrequest.h"
 #include "http/connection.h"
 #include "http/timer.h"
+#include "requestbody.h"
 
 #include <functional>
 #include <memory>
@@ -55,10 +56,18 @@
     bool parseNext();
     void updateReading();
     bool checkHead();
+    void appendBody(std::string_view piece);
+    std::size_t bodyBytes() const;
+    bool needsReservation() const;
+    void reserveBody();
+    void onBodyGranted();
+    void readBody();
     void startRequest();
-    void rejectAndClose(int status, std::string_view reason);
+    void rejectAndClose(int status, std::string_view reason, std::optional<Duration> retryAfter = {});
+    void rejectBody();
     void finishAnswer();
     void closeAfterAnswer();
+    void closeAfterRejection();
     void waitWhileIdle();
     void onConnectionEnd();
     void onDrained();
@@ -77,7 +86,9 @@
     http::Timer turnTimer_; ///< Runs while the backlog waits for the next turn of the loop.
     bool isParsing_ = false;
     std::string backlog_; ///< Bytes received after the request in progress.
-    std::string body_;
+    std::shared_ptr<RequestBody> body_; ///< Of the request that is being received; null until it is needed.
+    std::size_t statedBodyBytes_ = 0; ///< 0 if the head does not state a length.
+    bool isWaitingForMemory_ = false; ///< Nothing is read until there is memory for the body.
     std::optional<BootTime> backlogSince_; ///< When the first byte of the backlog arrived; nothing if no request was in progress then.
     BootTime requestSince_;
     bool isHeadChecked_ = false;
--- a/libs/forward/src/endpointattempt.cpp
+++ b/libs/forward/src/endpointattempt.cpp
@@ -85,7 +85,7 @@
         parser_.expectNoBody();
     }
     if (connection_->isConnected()) {
-        connection_->send(options_.message);
+        connection_->send(options_.head, options_.body);
     }
     return true;
 }
@@ -98,7 +98,7 @@
         finish(AttemptEnd::Withdrawn);
         return;
     }
-    connection_->send(options_.message);
+    connection_->send(options_.head, options_.body);
 }
 
 void EndpointAttempt::cancel()
--- a/libs/forward/src/endpointattempt.h
+++ b/libs/forward/src/endpointattempt.h
@@ -47,7 +47,8 @@
         const Protocol *protocol = nullptr;
         routing::EndpointPointer endpoint{};
         std::string requestId{};
-        std::string message{}; ///< The complete request in wire format.
+        std::string head{}; ///< Of the request, in wire format.
+        std::shared_ptr<const std::string> body{}; ///< Null if it has none.
         bool isHead = false; ///< Its method is HEAD.
         Duration maxIdle{0}; ///< Maximum idle time of a pooled connection that may be used.
     };
--- a/libs/forward/src/forwardcontext.h
+++ b/libs/forward/src/forwardcontext.h
@@ -3,6 +3,7 @@
 
 #include "answerbuffers.h"
 #include "base/random.h"
+#include "bodybudget.h"
 #include "coldmonitor.h"
 #include "crashtracker.h"
 #include "endpointconnectionpool.h"
@@ -27,6 +28,9 @@
 // Callers whose connections were closed by the restart reconnect at that moment, and would waste their retry on a rejection.
 constexpr Duration StartupPeriod{3000};
 
+// A body that would wait longer than this for memory is refused at once. Longer waits take the time that its request needs to run.
+constexpr Duration MaxBodyWait{1000};
+
 /** State shared by all requests of an entry. Owned by its ForwardTask. */
 struct ForwardContext {
     ForwardContext(event_base *eventLoop, ForwardOptions forwardOptions, observe::Metrics &metricsRegistry)
@@ -34,9 +38,10 @@
         , options(std::move(forwardOptions))
         , endpoints({.dataCentre = options.dataCentre, .coldBound = options.coldBound})
         , proof(options.proof)
+        , metrics(metricsRegistry)
+        , bodyBudget({.memoryLimit = options.memoryLimit, .maxWait = MaxBodyWait, .heldBytes = metrics.heldBodyBytes})
         , connections(eventLoop)
         , random(seededRandom())
-        , metrics(metricsRegistry)
         , answerBuffers({.memoryLimit = options.memoryLimit, .heldBytes = metrics.heldAnswerBytes})
         , coldMonitor({.loop = eventLoop, .endpoints = endpoints, .metrics = metrics})
         , statements({.protocol = options.protocol,
@@ -163,9 +168,10 @@
     routing::TextMap<routing::RetryAllowance> retryAllowances; ///< By service.
     routing::TextMap<std::unique_ptr<SlotQueue>> slotQueues; ///< By service.
     routing::TextMap<BootTime> lastGoodAnswerAt; ///< By service: when an endpoint last began a successful answer.
+    ForwardMetrics metrics;
+    BodyBudget bodyBudget; ///< Outlives the connections, which may still hold bodies.
     EndpointConnectionPool connections;
     Random random;
-    ForwardMetrics metrics;
     AnswerBuffers answerBuffers;
     RequestLog log;
     ColdMonitor coldMonitor;
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -88,7 +88,7 @@
     void dispatch(const routing::EndpointPointer &endpoint);
     void countDispatch(const routing::Endpoint &endpoint);
     std::optional<routing::Priority> priority() const;
-    std::string messageFor(const routing::Endpoint &endpoint) const;
+    std::string headFor(const routing::Endpoint &endpoint) const;
     bool isRepeatable() const;
     bool retryElsewhere(std::string_view cause);
     void waitForProbe();
--- a/libs/forward/src/forwardmetrics.h
+++ b/libs/forward/src/forwardmetrics.h
@@ -27,6 +27,9 @@
         , reportedRequests(metrics.gauge("magnolia_forward_reported_requests", "Requests that endpoints were reported to have ended under."))
         , endlessAnswers(metrics.counter("magnolia_forward_endless_answers_total", "Answers given up since they were longer than any may be."))
         , heldAnswerBytes(metrics.gauge("magnolia_forward_held_answer_bytes", "Bytes held of answers that are not complete."))
+        , heldBodyBytes(metrics.gauge("magnolia_forward_held_body_bytes", "Bytes reserved for large bodies of requests."))
+        , bodiesDelayed(metrics.counter("magnolia_forward_bodies_delayed_total", "Large bodies that waited for memory before they were read."))
+        , bodiesDenied(metrics.counter("magnolia_forward_bodies_denied_total", "Requests refused since there was no memory for their bodies."))
         , rests(metrics.counter("magnolia_forward_rests_total", "Times that an endpoint turned a request away and asked for rest."))
         , sentInRest(metrics.counter("magnolia_forward_sent_in_rest_total", "Requests sent to endpoints that had asked for rest until later."))
         , sentToLeaving(metrics.counter("magnolia_forward_sent_to_leaving_total", "Requests sent to endpoints that had stated that they leave."))
@@ -62,6 +65,9 @@
     observe::Gauge &reportedRequests;
     observe::Counter &endlessAnswers;
     observe::Gauge &heldAnswerBytes;
+    observe::Gauge &heldBodyBytes;
+    observe::Counter &bodiesDelayed;
+    observe::Counter &bodiesDenied;
     observe::Counter &rests;
     observe::Counter &sentInRest;
     observe::Counter &sentToLeaving;
--- a/libs/forward/src/localanswer.cpp
+++ b/libs/forward/src/localanswer.cpp
@@ -17,6 +17,11 @@
 ErrorCode codeOf(int status)
 {
     switch (status) {
+    case StatusBadRequest:
+    case StatusRequestTimeout:
+    case StatusTooLarge:
+    case StatusHeadersTooLarge:
+        return ErrorCode::BadInput;
     case StatusUnauthorised:
         return ErrorCode::Unauthorised;
     case StatusNotFound:
--- a/libs/forward/src/outgoingrequest.cpp
+++ b/libs/forward/src/outgoingrequest.cpp
@@ -12,7 +12,7 @@
 bool statesLength(const CallerRequest &request)
 {
     const std::string &method = request.head.method;
-    return !request.body.empty() || method == "POST" || method == "PUT" || method == "PATCH";
+    return !request.bodyBytes().empty() || method == "POST" || method == "PUT" || method == "PATCH";
 }
 
 http::HeaderList headersOf(const Protocol &protocol, const OutgoingRequest &outgoing)
@@ -42,16 +42,16 @@
 
 } // namespace
 
-std::string writeRequest(const Protocol &protocol, const OutgoingRequest &outgoing)
+std::string writeRequestHead(const Protocol &protocol, const OutgoingRequest &outgoing)
 {
     const CallerRequest &request = *outgoing.request;
-    std::string message = request.head.method + " " + request.head.target + " HTTP/1.1\r\n";
-    headersOf(protocol, outgoing).appendTo(message);
+    std::string head = request.head.method + " " + request.head.target + " HTTP/1.1\r\n";
+    headersOf(protocol, outgoing).appendTo(head);
     if (statesLength(request)) {
-        message.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+        head.append("Content-Length: ").append(std::to_string(request.bodyBytes().size())).append("\r\n");
     }
-    message.append("\r\n").append(request.body);
-    return message;
+    head.append("\r\n");
+    return head;
 }
 
 } // namespace magnolia::forward
--- a/libs/forward/src/outgoingrequest.h
+++ b/libs/forward/src/outgoingrequest.h
@@ -26,10 +26,10 @@
 };
 
 /**
- * @return the request in wire format: method, target and body as the caller sent them, without the caller's key and
+ * @return the head of the request in wire format: method and target as the caller sent them, without the caller's key and
  *         hop-by-hop headers, and with the headers of this system, which replace any that the caller sent.
  */
-std::string writeRequest(const Protocol &protocol, const OutgoingRequest &outgoing);
+std::string writeRequestHead(const Protocol &protocol, const OutgoingRequest &outgoing);
 
 } // namespace magnolia::forward
 
--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -140,7 +140,8 @@
                                                                           .protocol = &context_.options.protocol,
                                                                           .endpoint = endpoint,
                                                                           .requestId = requestId_,
-                                                                          .message = messageFor(*endpoint),
+                                                                          .head = headFor(*endpoint),
+                                                                          .body = request_.body,
                                                                           .isHead = request_.head.method == "HEAD",
                                                                           .maxIdle = isAtMostOnce ? MaxIdleAtMostOnce : MaxIdle},
                                                  EndpointAttempt::Callbacks{.onHead = [this](http::MessageHead &head) { onAnswerHead(head); },
@@ -194,16 +195,16 @@
     return organisation_ != nullptr && organisation_->priority ? organisation_->priority : route_->priority;
 }
 
-std::string ForwardedRequest::messageFor(const routing::Endpoint &endpoint) const
+std::string ForwardedRequest::headFor(const routing::Endpoint &endpoint) const
 {
-    return writeRequest(context_.options.protocol,
-                        {.request = &request_,
-                         .expectedInstance = endpoint.record.id,
-                         .timeLeft = std::chrono::duration_cast<Duration>(timeLeft()),
-                         .organisation = organisation_ == nullptr ? std::string_view() : std::string_view(organisation_->name),
-                         .priority = route_->kind == RouteKind::Stream ? priority() : std::nullopt,
-                         .lastEventId = splitter_.lastId(),
-                         .traceparent = spans_.attemptTraceparent()});
+    return writeRequestHead(context_.options.protocol,
+                            {.request = &request_,
+                             .expectedInstance = endpoint.record.id,
+                             .timeLeft = std::chrono::duration_cast<Duration>(timeLeft()),
+                             .organisation = organisation_ == nullptr ? std::string_view() : std::string_view(organisation_->name),
+                             .priority = route_->kind == RouteKind::Stream ? priority() : std::nullopt,
+                             .lastEventId = splitter_.lastId(),
+                             .traceparent = spans_.attemptTraceparent()});
 }
 
 bool ForwardedRequest::isRepeatable() const
--- a/libs/forward/src/retryafter.h
+++ b/libs/forward/src/retryafter.h
@@ -13,6 +13,8 @@
 constexpr Duration RetryAfterGroup{1800};
 /** Work in a data centre takes minutes at least; entries learn of its end within this time. */
 constexpr Duration RetryAfterEvacuated{5000};
+/** Bodies are held for about as long as a request takes. */
+constexpr Duration RetryAfterBodies{1000};
 constexpr Duration RetryAfterStopping{50}; ///< Other instances accept the request at once.
 
 } // namespace magnolia::forward
--- a/libs/forward/tests/endpointattempttest.cpp
+++ b/libs/forward/tests/endpointattempttest.cpp
@@ -37,7 +37,7 @@
     {
         attempt = std::make_shared<EndpointAttempt>(
             EndpointAttempt::Options{
-                .loop = loop.get(), .connections = &connections, .protocol = &protocol, .endpoint = endpoint, .message = "GET / HTTP/1.1\r\n\r\n"},
+                .loop = loop.get(), .connections = &connections, .protocol = &protocol, .endpoint = endpoint, .head = "GET / HTTP/1.1\r\n\r\n"},
             EndpointAttempt::Callbacks{.onEnd = [this](AttemptEnd result) { end = result; }});
         BOOST_REQUIRE(attempt->start());
         BOOST_REQUIRE(!attempt->isConnected());
--- a/libs/forward/tests/forwardfixture.h
+++ b/libs/forward/tests/forwardfixture.h
@@ -57,8 +57,12 @@
 
 /** An entry between scripted endpoints and callers that send raw bytes. */
 struct ForwardFixture : http::LoopFixture {
-    /** @param liveness path that the entry requests for liveness checks of unresponsive endpoints; empty: no checks. */
-    explicit ForwardFixture(std::string liveness = {}) : livenessPath(std::move(liveness))
+    /**
+     * @param liveness path that the entry requests for liveness checks of unresponsive endpoints; empty: no checks.
+     * @param memory of the entry, in bytes.
+     */
+    explicit ForwardFixture(std::string liveness = {}, std::size_t memory = ForwardOptions().memoryLimit)
+        : livenessPath(std::move(liveness)), memoryLimit(memory)
     {
         startTask(nullptr);
     }
@@ -88,6 +92,7 @@
         };
         options.proof.bound = Duration(60000);
         options.retries = {.share = 1, .constant = 160, .window = Duration(10000), .instances = 8, .precededUntil = std::nullopt};
+        options.memoryLimit = memoryLimit;
         options.gracePeriod = Duration(4000);
         auto started = ForwardTask::start(loop.get(), options, metrics, [this] { hasStopped = true; });
         BOOST_REQUIRE(started.has_value());
@@ -110,7 +115,12 @@
         return route;
     }
 
-    void putRoutes(std::uint64_t version = 1)
+    static routing::CallerLimits smallLimits()
+    {
+        return {.maxHeaderBytes = 2000, .maxBodyBytes = 1000, .headerTimeout = Duration(100), .idleTimeout = Duration(300)};
+    }
+
+    void putRoutes(std::uint64_t version = 1, const routing::CallerLimits &limits = smallLimits())
     {
         routing::RoutingConfig config;
         config.version = version;
@@ -125,10 +135,7 @@
         config.routes.back().isPublic = false;
         config.services = {{.name = "s", .steps = routing::StepModel{.slots = 10, .stepMs = 0.1, .perRequestMs = 1}}};
         config.organisations = {{.name = "south", .keys = {"k1"}, .priority = {}}};
-        config.limits.maxBodyBytes = 1000;
-        config.limits.maxHeaderBytes = 2000;
-        config.limits.headerTimeout = Duration(100);
-        config.limits.idleTimeout = Duration(300);
+        config.limits = limits;
         task->putRoutes(std::make_shared<const routing::RouteTable>(std::move(config)));
         task->confirmRoutes(BootClock::now());
     }
@@ -180,6 +187,7 @@
     }
 
     std::string livenessPath;
+    std::size_t memoryLimit;
     observe::Metrics metrics;
     std::unique_ptr<ForwardTask> task;
     bool hasStopped = false;
