http: a request with a blank before the colon of a field is rejected

What was seen: a field `Tenant : x` was passed on beside the one that the entry sets. A reader that skips the blank takes the caller's field for it.

Cause: the parser library accepts blanks in names; no name is matched then.

Change: such requests are answered 400; in answers the blanks are removed (RFC 9112, 5.1).

Tests: blankBeforeTheColon_requestIsBrokenAndAnswerIsCorrected and header_blankBeforeItsColon_isRejectedWith400; both fail without the change.

--- a/libs/forward/tests/forwardtest.cpp
+++ b/libs/forward/tests/forwardtest.cpp
@@ -318,6 +318,15 @@
     BOOST_TEST(contains(answerTo(bytes, "}"), "HTTP/1.1 413"));
 }
 
+// Guards against a field that is passed on although the endpoint may take it for one that only the entry sets.
+BOOST_AUTO_TEST_CASE(header_blankBeforeItsColon_isRejectedWith400)
+{
+    putRoutes();
+    RawPeer &endpoint = addEndpoint([](int) { return RawPeer::Answer{.bytes = wholeAnswer(200, "r1", "body")}; });
+    BOOST_TEST(contains(answerTo(request("repeatable", "GET", "X-Organisation : other\r\n"), "}"), "HTTP/1.1 400"));
+    BOOST_TEST(endpoint.requests() == 0);
+}
+
 // Guards against taking the framing of a body in small chunks for headers.
 BOOST_AUTO_TEST_CASE(body_inManySmallChunks_isServed)
 {
--- a/libs/http/src/messageparser.cpp
+++ b/libs/http/src/messageparser.cpp
@@ -2,6 +2,7 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace magnolia::http
@@ -14,6 +15,19 @@
 constexpr unsigned StatusNoContent = 204;
 constexpr unsigned StatusNotModified = 304;
 
+constexpr char Blank = ' ';
+
+/** Whether blanks stand in the name of a field or before its colon, so that readers may disagree on the name. */
+bool hasBlankInName(const HeaderField &field)
+{
+    return field.name.find(Blank) != std::string::npos;
+}
+
+void removeBlanksBeforeColon(HeaderField &field)
+{
+    field.name.erase(field.name.find_last_not_of(Blank) + 1);
+}
+
 /** Whether an answer says itself where it ends. */
 bool isFramed(const http_parser &parser)
 {
@@ -112,9 +126,18 @@
 
 int MessageParser::Impl::onHeadersComplete(http_parser *parser)
 {
+    constexpr int SkipBody = 1;
+    constexpr int Broken = -1;
     Impl &self = of(parser);
     self.hasHead_ = true;
     self.head_.status = parser->status_code;
+    auto &fields = self.head_.headers.fields();
+    if (self.kind_ == Kind::Answer) {
+        std::for_each(fields.begin(), fields.end(), &removeBlanksBeforeColon); // RFC 9112, 5.1: removed from answers, rejected in requests.
+    }
+    if (std::any_of(fields.begin(), fields.end(), &hasBlankInName)) {
+        return Broken;
+    }
     if (self.kind_ == Kind::Request) {
         self.head_.method = http_method_str(static_cast<http_method>(parser->method));
     } else {
@@ -122,7 +145,6 @@
     }
     self.head_.keepAlive = http_should_keep_alive(parser) != 0;
     http_parser_pause(parser, 1); // So that the head can be told from what follows.
-    constexpr int SkipBody = 1;
     return self.expectsNoBody_ ? SkipBody : 0;
 }
 
--- a/libs/http/tests/messageparsertest.cpp
+++ b/libs/http/tests/messageparsertest.cpp
@@ -90,6 +90,17 @@
     BOOST_TEST(feed(request, Post) == 0U);
 }
 
+// Guards against a field that this parser and the next reader take for different ones.
+BOOST_AUTO_TEST_CASE(blankBeforeTheColon_requestIsBrokenAndAnswerIsCorrected)
+{
+    feed(request, "GET / HTTP/1.1\r\nHost: x\r\nX-Organisation : a\r\n\r\n");
+    BOOST_TEST(request.isBroken());
+    feed(answer, "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok");
+    BOOST_TEST(answer.isComplete());
+    BOOST_TEST(answer.head().headers.value("content-length") == "2");
+    BOOST_TEST(body == "ok");
+}
+
 BOOST_AUTO_TEST_CASE(answer_inChunks_endsWithTheLast)
 {
     feed(answer, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
