routing: hosts are compared without regard to case

What callers saw: a request whose Host has capitals was answered 404 (RFC 9110, 4.2.3: hosts are compared in any case). The fingerprint of a request takes the host of its route, so that it doesn't depend on the spelling either.

Test: host_inCapitals_matches fails without the change.

--- a/libs/forward/src/admission.cpp
+++ b/libs/forward/src/admission.cpp
@@ -26,10 +26,10 @@
     return target.substr(0, target.find('?'));
 }
 
-std::string fingerprintOf(const CallerRequest &request, const routing::Organisation *organisation)
+std::string fingerprintOf(const CallerRequest &request, const routing::Route &route, const routing::Organisation *organisation)
 {
     return routing::fingerprintOf({.method = request.head.method,
-                                   .host = request.head.headers.value("host"),
+                                   .host = route.host,
                                    .target = request.head.target,
                                    .organisation = organisation == nullptr ? std::string_view() : std::string_view(organisation->name),
                                    .body = request.bodyBytes()});
@@ -53,7 +53,7 @@
         return tl::unexpected(Rejection{.status = StatusNotFound, .cause = "no route leads there"});
     }
     if (!input.routes->needsKeys() || route->isPublic) {
-        return AdmittedRequest{.route = route, .fingerprint = fingerprintOf(*input.request, nullptr)};
+        return AdmittedRequest{.route = route, .fingerprint = fingerprintOf(*input.request, *route, nullptr)};
     }
     if (!isProved) {
         return tl::unexpected(Rejection{
@@ -63,7 +63,7 @@
     if (organisation == nullptr) {
         return tl::unexpected(Rejection{.status = StatusUnauthorised, .cause = "no organisation holds that key", .route = route});
     }
-    return AdmittedRequest{.route = route, .organisation = organisation, .fingerprint = fingerprintOf(*input.request, organisation)};
+    return AdmittedRequest{.route = route, .organisation = organisation, .fingerprint = fingerprintOf(*input.request, *route, organisation)};
 }
 
 std::vector<std::string_view> sharedPromptPartsOf(const CallerRequest &request, const Protocol &protocol)
--- a/libs/routing/include/routing/routetable.h
+++ b/libs/routing/include/routing/routetable.h
@@ -44,7 +44,7 @@
     RouteTable(const RouteTable &) = delete;
     RouteTable &operator=(const RouteTable &) = delete;
 
-    /** @param host as received, with or without a port. @return the host's route with the longest matching path prefix, or null. */
+    /** @param host as received, with or without a port, in any case. @return the host's route with the longest matching path prefix, or null. */
     const Route *match(std::string_view host, std::string_view path) const;
 
     /** @return the organisation to which an API key belongs, or null. */
--- a/libs/routing/src/routetable.cpp
+++ b/libs/routing/src/routetable.cpp
@@ -19,6 +19,19 @@
     return host.substr(0, isBracketed ? colon + 1 : colon);
 }
 
+char toLower(char letter)
+{
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
+/** @return the host in the form in which hosts are compared: without its port, in small letters (RFC 9110, 4.2.3). */
+std::string hostKeyOf(std::string_view host)
+{
+    std::string key(withoutPort(host));
+    std::transform(key.begin(), key.end(), key.begin(), &toLower);
+    return key;
+}
+
 /** @return the services to which streams can be sent, with the priorities of their routes and, if these differ, of the organisations. */
 TextMap<PrioritySet> streamPrioritiesOf(const RoutingConfig &config)
 {
@@ -62,7 +75,7 @@
 RouteTable::RouteTable(RoutingConfig config) : config_(std::move(config)), streamPriorities_(routing::streamPrioritiesOf(config_))
 {
     for (const Route &route : config_.routes) {
-        hosts_[route.host].emplace(route.pathPrefix, &route);
+        hosts_[hostKeyOf(route.host)].emplace(route.pathPrefix, &route);
     }
     for (const Organisation &organisation : config_.organisations) {
         for (const std::string &key : organisation.keys) {
@@ -76,7 +89,7 @@
 
 const Route *RouteTable::match(std::string_view host, std::string_view path) const
 {
-    const auto routes = hosts_.find(withoutPort(host));
+    const auto routes = hosts_.find(hostKeyOf(host));
     if (routes == hosts_.end()) {
         return nullptr;
     }
--- a/libs/routing/tests/routetabletest.cpp
+++ b/libs/routing/tests/routetabletest.cpp
@@ -62,6 +62,14 @@
     BOOST_TEST(nameOf("b.example:8080", "/x") == "all");
 }
 
+// Guards against denying requests of callers that write the host in capitals.
+BOOST_AUTO_TEST_CASE(host_inCapitals_matches)
+{
+    BOOST_TEST(nameOf("B.Example", "/x") == "all");
+    BOOST_TEST(nameOf("B.EXAMPLE:8080", "/x") == "all");
+    BOOST_TEST(nameOf("a.example", "/Shop/") == "none"); // Paths are compared as they are.
+}
+
 BOOST_AUTO_TEST_CASE(key_known_hasItsOrganisation)
 {
     BOOST_REQUIRE(table.organisationOf("k2") != nullptr);
