http: requests whose targets are in absolute form are served

What callers saw: `GET http://host/path` was answered 404 (RFC 9112, 3.2.2: a server accepts this form, and the host of the target replaces the header).

Change: such a target is changed to the origin form as the head is read, so routing, the fingerprint and what is passed on see one form.

Tests: target_inAbsoluteForm_becomesOriginFormAndItsHostTheHeader and target_inAbsoluteForm_isServedInOriginForm; both fail without the change.

--- a/libs/forward/tests/forwardtest.cpp
+++ b/libs/forward/tests/forwardtest.cpp
@@ -318,6 +318,18 @@
     BOOST_TEST(contains(answerTo(bytes, "}"), "HTTP/1.1 413"));
 }
 
+// Guards against denying requests whose targets are in absolute form.
+BOOST_AUTO_TEST_CASE(target_inAbsoluteForm_isServedInOriginForm)
+{
+    putRoutes();
+    RawPeer &endpoint = addEndpoint([](int) { return RawPeer::Answer{.bytes = wholeAnswer(200, "r1", "body")}; });
+    const std::string bytes = "GET http://h/repeatable/x?q=1 HTTP/1.1\r\nHost: other\r\nX-Request-Id: r1\r\nX-Request-Timeout-Ms: 3000\r\n\r\n";
+    BOOST_TEST(contains(answerTo(bytes, "body"), "HTTP/1.1 200"));
+    BOOST_TEST(endpoint.lastRequest().starts_with("GET /repeatable/x?q=1 HTTP/1.1\r\n"));
+    BOOST_TEST(contains(endpoint.lastRequest(), "\r\nHost: h\r\n"));
+    BOOST_TEST(!contains(endpoint.lastRequest(), "other"));
+}
+
 // Guards against a field that is passed on although the endpoint may take it for one that only the entry sets.
 BOOST_AUTO_TEST_CASE(header_blankBeforeItsColon_isRejectedWith400)
 {
--- a/libs/http/include/http/messageparser.h
+++ b/libs/http/include/http/messageparser.h
@@ -16,7 +16,7 @@
 /** The head of a request or an answer. */
 struct MessageHead {
     std::string method; ///< Of a request.
-    std::string target; ///< Of a request, as received.
+    std::string target; ///< Of a request, in origin form.
     int status = 0; ///< Of an answer.
     HeaderList headers;
     bool keepAlive = false; ///< The sender means to use the connection again.
--- a/libs/http/src/messageparser.cpp
+++ b/libs/http/src/messageparser.cpp
@@ -28,6 +28,24 @@
     field.name.erase(field.name.find_last_not_of(Blank) + 1);
 }
 
+/** Changes a target in absolute form to the origin form, in which requests are matched and passed on. Its host replaces the header (RFC 9112, 3.2.2). */
+void toOriginForm(MessageHead &head)
+{
+    constexpr std::string_view SchemeEnd = "://";
+    const std::size_t scheme = head.target.starts_with('/') ? std::string::npos : head.target.find(SchemeEnd);
+    if (scheme == std::string::npos) {
+        return;
+    }
+    const std::size_t hostBegin = scheme + SchemeEnd.size();
+    const std::size_t hostEnd = std::min(head.target.find_first_of("/?#", hostBegin), head.target.size());
+    std::string rest = head.target.substr(hostEnd);
+    if (!rest.starts_with('/')) {
+        rest.insert(0, "/");
+    }
+    head.headers.set("Host", head.target.substr(hostBegin, hostEnd - hostBegin));
+    head.target = std::move(rest);
+}
+
 /** Whether an answer says itself where it ends. */
 bool isFramed(const http_parser &parser)
 {
@@ -140,6 +158,7 @@
     }
     if (self.kind_ == Kind::Request) {
         self.head_.method = http_method_str(static_cast<http_method>(parser->method));
+        toOriginForm(self.head_);
     } else {
         self.head_.endsWithConnection = !self.expectsNoBody_ && !isFramed(*parser);
     }
--- a/libs/http/tests/messageparsertest.cpp
+++ b/libs/http/tests/messageparsertest.cpp
@@ -90,6 +90,22 @@
     BOOST_TEST(feed(request, Post) == 0U);
 }
 
+// Guards against routing a request by another host than the one that its target names.
+BOOST_AUTO_TEST_CASE(target_inAbsoluteForm_becomesOriginFormAndItsHostTheHeader)
+{
+    feed(request, "GET http://Y.example:81/a?b=//c HTTP/1.1\r\nHost: x.example\r\n\r\n");
+    BOOST_TEST(request.head().target == "/a?b=//c");
+    BOOST_TEST(request.head().headers.value("host") == "Y.example:81");
+    request.reset();
+    feed(request, "GET http://y.example?b HTTP/1.1\r\nHost: x.example\r\n\r\n");
+    BOOST_TEST(request.head().target == "/?b");
+    BOOST_TEST(request.head().headers.value("host") == "y.example");
+    request.reset();
+    feed(request, "GET /a?b=http://c HTTP/1.1\r\nHost: x.example\r\n\r\n");
+    BOOST_TEST(request.head().target == "/a?b=http://c");
+    BOOST_TEST(request.head().headers.value("host") == "x.example");
+}
+
 // Guards against a field that this parser and the next reader take for different ones.
 BOOST_AUTO_TEST_CASE(blankBeforeTheColon_requestIsBrokenAndAnswerIsCorrected)
 {
