forward: an event that takes too long is one without end

What callers could see: a stream whose first event came slowly and without end was read for 1.5 s, the whole time of its attempt, without use.

Cause: each byte counted as a sign of life, and only the size of an event was bounded.

Change: an event may be received for 0.8 s. The clock starts with its first byte and is looked at when more bytes come, so a pause of this process or a lost segment ends no stream: the bytes that waited complete the event first.

Ruled out: a bound on the time without a relayed event, since an endpoint that resumes a stream may repeat events at the pace at which it makes them.

Three more forms that come slowly (a head, interim answers, a body) pass without a change and close what was not measured.

--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -194,6 +194,7 @@
     bool isStreaming_ = false; ///< The head of a stream has been sent to the caller.
     bool isStreamAnswer_ = false; ///< The answer of the current attempt is an event stream.
     EventSplitter splitter_;
+    BootTime eventBegunAt_; ///< When the first bytes of the incomplete event were received.
     std::size_t bytesWithoutEvent_ = 0; ///< Received since the last event that was relayed.
     std::uint64_t eventCount_ = 0;
     BootTime lastEventAt_; ///< When events were last relayed.
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -26,6 +26,9 @@
 // Limit on what a stream may send without an event that is relayed: an event in progress, and those that the caller already has.
 constexpr std::size_t MaxBytesWithoutEvent = 1U << 20U;
 
+// Limit on the time for which one event may be received. A retransmission of its end takes less.
+constexpr Duration MaxEventTime{800};
+
 // If no other endpoint began a successful answer for this long, the whole service may not be running. Requests at a group that lost a rank stall for longer
 // than that before they are rejected.
 constexpr Duration ServingPeriod{1000};
@@ -128,13 +131,17 @@
 
 void ForwardedRequest::relayEvents(std::string_view piece)
 {
+    const std::size_t incompleteBytes = splitter_.bufferedBytes();
     const std::string_view events = splitter_.feed(piece);
     if (splitter_.hasGap()) {
         onAttemptEnd(AttemptEnd::Invalid);
         return;
     }
+    const bool isSameEvent = incompleteBytes > 0 && splitter_.bufferedBytes() == incompleteBytes + piece.size();
+    eventBegunAt_ = isSameEvent ? eventBegunAt_ : lastReceivedAt_;
     bytesWithoutEvent_ = events.empty() ? bytesWithoutEvent_ + piece.size() : 0;
-    if (bytesWithoutEvent_ > MaxBytesWithoutEvent) {
+    const bool isTooSlow = isSameEvent && lastReceivedAt_ - eventBegunAt_ > MaxEventTime;
+    if (isTooSlow || bytesWithoutEvent_ > MaxBytesWithoutEvent) {
         onAttemptEnd(AttemptEnd::Endless);
         return;
     }
--- a/libs/forward/tests/endlessanswertest.cpp
+++ b/libs/forward/tests/endlessanswertest.cpp
@@ -15,6 +15,7 @@
 using namespace std::chrono_literals;
 
 constexpr Duration CallInterval = 20ms;
+constexpr Duration SlowInterval = 10ms;
 constexpr std::size_t CallerCount = 100;
 constexpr std::size_t MinServed = 90;
 constexpr Duration MaxUselessReading = 1000ms;
@@ -131,6 +132,27 @@
     BOOST_TEST(endless.front()->mostBytes() < MaxUselessBytes);
 }
 
+// Guards against waiting for the end of a head that comes byte by byte, at the same endpoint again and again.
+BOOST_AUTO_TEST_CASE(headers_slowWithoutEnd_callersAreServed)
+{
+    checkCallersAreServed({.begin = "HTTP/1.1 200 OK\r\n", .repeated = "X-A: b\r\n", .interval = SlowInterval});
+}
+
+BOOST_AUTO_TEST_CASE(interimAnswers_slowWithoutEnd_callersAreServed)
+{
+    checkCallersAreServed({.begin = "", .repeated = "HTTP/1.1 100 Continue\r\n\r\n", .interval = SlowInterval});
+}
+
+BOOST_AUTO_TEST_CASE(body_slowWithoutEnd_callersAreServed)
+{
+    checkCallersAreServed({.begin = Head + "\r\n", .repeated = "x", .interval = SlowInterval});
+}
+
+BOOST_AUTO_TEST_CASE(event_slowWithoutEnd_callersAreServed)
+{
+    checkCallersAreServed({.begin = streamHead("r1"), .repeated = chunk("data: x\n"), .interval = SlowInterval}, "stream");
+}
+
 // Guards against reading events that the caller already has until its time is up.
 BOOST_AUTO_TEST_CASE(repeatedEvent_withoutEnd_callersAreServed)
 {
--- a/libs/forward/tests/endlesspeer.h
+++ b/libs/forward/tests/endlesspeer.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIA_FORWARD_TESTS_ENDLESSPEER_H
 #define MAGNOLIA_FORWARD_TESTS_ENDLESSPEER_H
 
+#include "http/timer.h"
 #include "rawpeer.h"
 
 #include <event2/buffer.h>
@@ -14,7 +15,7 @@
 namespace magnolia::forward
 {
 
-/** An endpoint that answers each request with bytes that don't end, as fast as they are read, until its peer closes the connection. */
+/** An endpoint that answers each request with bytes that don't end, until its peer closes the connection. */
 class EndlessPeer
 {
 public:
@@ -22,14 +23,17 @@
         std::string begin{}; ///< Sent once.
         std::string repeated{}; ///< Sent again and again.
         std::string only{}; ///< Requests that begin otherwise get no answer.
+        Duration interval{0}; ///< Between two repetitions; 0: as fast as they are read.
     };
 
-    EndlessPeer(event_base *loop, Script script) : loop_(loop), script_(std::move(script))
+    EndlessPeer(event_base *loop, Script script) : loop_(loop), script_(std::move(script)), timer_(loop, [this] { sendOnAll(); })
     {
         http::ignoreBrokenPipes();
-        while (block_.size() < MinBlockBytes) {
+        block_ = script_.repeated;
+        while (!isSlow() && block_.size() < MinBlockBytes) {
             block_ += script_.repeated;
         }
+        sendOnAll();
         const http::SocketAddress any = http::SocketAddress::parse("127.0.0.1:0").value();
         listener_.reset(evconnlistener_new_bind(
             loop, &EndlessPeer::onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, SOMAXCONN, any.get(), static_cast<int>(any.length)));
@@ -110,7 +114,27 @@
         ++peer->requests_;
         answer.since = MonoClock::now();
         bufferevent_write(stream, peer->script_.begin.data(), peer->script_.begin.size());
-        peer->sendBlock(stream, answer);
+        if (!peer->isSlow()) {
+            peer->sendBlock(stream, answer);
+        }
+    }
+
+    bool isSlow() const
+    {
+        return script_.interval.count() > 0;
+    }
+
+    void sendOnAll()
+    {
+        if (!isSlow()) {
+            return;
+        }
+        timer_.start(script_.interval);
+        for (auto &[stream, answer] : answers_) {
+            if (answer.hasBegun) {
+                sendBlock(stream, answer);
+            }
+        }
     }
 
     void sendBlock(bufferevent *stream, Answer &answer)
@@ -124,7 +148,7 @@
     {
         auto *peer = static_cast<EndlessPeer *>(self);
         Answer &answer = peer->answers_.at(stream);
-        if (answer.hasBegun) {
+        if (answer.hasBegun && !peer->isSlow()) {
             peer->sendBlock(stream, answer);
         }
     }
@@ -144,6 +168,7 @@
     std::size_t mostBytes_ = 0;
     Duration longestAnswer_{0};
     int requests_ = 0;
+    http::Timer timer_;
     std::unique_ptr<evconnlistener, FreeListener> listener_;
 };
 
