forward: a body in chunks is permitted once

A caller that waits for permission and sends a large body in chunks got a second 100 Continue when memory was reserved for it, from the commit that bounds large bodies. bodyInChunksAfterPermission_large_getsOnePermission fails without the condition.

--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -282,7 +282,7 @@
     if (statedBodyBytes_ > MaxUnreservedBytes) {
         body_->bytes.reserve(statedBodyBytes_); // Otherwise it takes up to three times its size while it grows.
     }
-    if (http::equalsIgnoringCase(parser_.head().headers.value("expect"), "100-continue")) {
+    if (bodyBytes() == 0 && http::equalsIgnoringCase(parser_.head().headers.value("expect"), "100-continue")) {
         connection_->send(Continue);
     }
 }
--- a/libs/forward/tests/largebodiestest.cpp
+++ b/libs/forward/tests/largebodiestest.cpp
@@ -133,6 +133,17 @@
     BOOST_TEST(runUntil([&] { return polite.received().find("HTTP/1.1 200") != std::string::npos; }));
 }
 
+// Guards against a second permission, when a body in chunks turns out to be large.
+BOOST_AUTO_TEST_CASE(bodyInChunksAfterPermission_large_getsOnePermission)
+{
+    addReadingEndpoint(0ms);
+    RawCaller &caller = addCaller(request("at-most-once", "POST", "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n"));
+    BOOST_TEST(runUntil([&] { return caller.received() == "HTTP/1.1 100 Continue\r\n\r\n"; }));
+    caller.send(chunk(std::string(BodyBytes / 2, 'b')) + std::string(LastChunk));
+    BOOST_TEST(runUntil([&] { return caller.received().ends_with("body"); }));
+    BOOST_TEST(caller.received().starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200"));
+}
+
 // Guards against a body of unknown length that is held without a reservation.
 BOOST_AUTO_TEST_CASE(bodyInChunks_large_isReservedUntilItIsServed)
 {
