forward: answers that callers have not read take an eighth of the memory together

What callers could see: the entry is ended for its memory, with all that it serves, when many callers read large answers slowly or not at all. Each connection was bounded (16 MB and, for streams, 256 KB), their sum was not; an answer was also copied twice on its way into the output.

Change: CallerSession counts what is queued for its caller in a second AnswerBuffers. Beyond the bound the caller with the most is disconnected, on the loop's next turn since the call may come from within one of its own, with a log line and a metric. A large answer is queued without a copy.

Ruled out: holding back answers of endpoints, since an answer that is complete has to be kept all the same; a bound for each connection, since sound callers of large answers would be cut off while there is memory.

--- a/libs/forward/src/answerbuffers.cpp
+++ b/libs/forward/src/answerbuffers.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-// Part of the process's memory for incomplete answers. A buffer that grows takes up to three times its size for a moment.
+// Part of the process's memory for answers of one kind. A buffer that grows takes up to three times its size for a moment.
 constexpr std::size_t MemoryDivisor = 8;
 
 } // namespace
--- a/libs/forward/src/answerbuffers.h
+++ b/libs/forward/src/answerbuffers.h
@@ -11,10 +11,10 @@
 {
 
 /**
- * Bounds the memory that incomplete answers take, over all requests of an entry.
+ * Bounds the memory that answers of one kind take, over all requests of an entry: those that are incomplete, or those that callers have not read.
  *
- * Beyond the bound the largest answer is given up, since it is the one most likely to have no end: sound answers are small beside the bound. Lives as long as
- * the entry's task, used on its thread.
+ * Beyond the bound the largest answer is given up. It is the one most likely to have no end, or a caller that doesn't read: others are small beside the bound.
+ * Lives as long as the entry's task, used on its thread.
  *
  * @code
  * AnswerBuffers::Share share(buffers, [this] { onAttemptEnd(AttemptEnd::Endless); });
@@ -29,7 +29,7 @@
         observe::Gauge &heldBytes;
     };
 
-    /** What one request holds. */
+    /** What one request, or one caller, holds. */
     class Share
     {
     public:
--- a/libs/forward/src/answerwriter.h
+++ b/libs/forward/src/answerwriter.h
@@ -30,7 +30,7 @@
 public:
     virtual ~AnswerWriter() = default;
 
-    virtual void sendAnswer(int status, const http::HeaderList &headers, std::string_view body) = 0;
+    virtual void sendAnswer(int status, const http::HeaderList &headers, std::string body) = 0;
 
     virtual void beginStream(int status, const http::HeaderList &headers) = 0;
     virtual void sendPiece(std::string_view piece) = 0;
--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -59,6 +59,12 @@
     , timer_(context.loop, [this] { onTimer(); })
     , closeCheckTimer_(context.loop, [this] { checkForClose(); })
     , turnTimer_(context.loop, [this] { parse(); })
+    , unreadAnswers_(context.unreadAnswers, [this] {
+        // Not ended here, since the call may come from within one of this session's own.
+        isGivenUp_ = true;
+        unreadAnswers_.resize(0);
+        closeCheckTimer_.start(Duration(0));
+    })
 {
     context_.metrics.callers.add(1);
 }
@@ -120,8 +126,17 @@
     }
 }
 
+/** Accounts for what the caller has not taken. */
+void CallerSession::countUnread()
+{
+    if (!isGivenUp_) {
+        unreadAnswers_.resize(pendingBytes());
+    }
+}
+
 void CallerSession::onDrained()
 {
+    countUnread();
     if (activeRequest_ != nullptr) {
         activeRequest_->onCallerDrained();
     } else {
@@ -131,6 +146,12 @@
 
 void CallerSession::checkForClose()
 {
+    if (isGivenUp_) {
+        observe::logger("forward")->warn("Answers that callers don't read fill their memory, connection closed unread_bytes={}", pendingBytes());
+        context_.metrics.unreadGivenUp.add();
+        onConnectionEnd();
+        return;
+    }
     if (activeRequest_ == nullptr || !connection_->isOpen()) {
         return;
     }
@@ -341,16 +362,14 @@
     return head;
 }
 
-void CallerSession::sendAnswer(int status, const http::HeaderList &headers, std::string_view body)
+void CallerSession::sendAnswer(int status, const http::HeaderList &headers, std::string body)
 {
     keepsAlive_ = keepsAlive_ && !context_.isStopping;
     http::HeaderList framed = headers;
     framed.add("Content-Length", std::to_string(body.size()));
-    std::string message = headOf(status, framed);
-    if (!isHead_) {
-        message.append(body);
-    }
-    connection_->send(message);
+    const auto sent = isHead_ ? nullptr : std::make_shared<const std::string>(std::move(body));
+    connection_->send(headOf(status, framed), sent);
+    countUnread();
     finishAnswer();
 }
 
@@ -367,11 +386,13 @@
     std::string chunk = std::exchange(streamHead_, {});
     chunk.append(fmt::format("{:x}\r\n", piece.size())).append(piece).append("\r\n");
     connection_->send(chunk);
+    countUnread();
 }
 
 void CallerSession::endStream()
 {
     connection_->send(std::exchange(streamHead_, {}) + "0\r\n\r\n");
+    countUnread();
     finishAnswer();
 }
 
--- a/libs/forward/src/callersession.h
+++ b/libs/forward/src/callersession.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIA_FORWARD_CALLERSESSION_H
 #define MAGNOLIA_FORWARD_CALLERSESSION_H
 
+#include "answerbuffers.h"
 #include "answerwriter.h"
 #include "forwardedrequest.h"
 #include "http/connection.h"
@@ -41,7 +42,7 @@
         return activeRequest_ != nullptr || pendingBytes() > 0;
     }
 
-    void sendAnswer(int status, const http::HeaderList &headers, std::string_view body) override;
+    void sendAnswer(int status, const http::HeaderList &headers, std::string body) override;
     void beginStream(int status, const http::HeaderList &headers) override;
     void sendPiece(std::string_view piece) override;
     void endStream() override;
@@ -66,6 +67,7 @@
     void rejectAndClose(int status, std::string_view reason, std::optional<Duration> retryAfter = {});
     void rejectBody();
     void finishAnswer();
+    void countUnread();
     void closeAfterAnswer();
     void closeAfterRejection();
     void waitWhileIdle();
@@ -82,7 +84,7 @@
     std::function<void(CallerSession *)> onEnd_;
     http::MessageParser parser_{http::MessageParser::Kind::Request};
     http::Timer timer_; ///< Timeout for reading a request, or for an idle connection.
-    http::Timer closeCheckTimer_; ///< Runs while reading is paused during a request.
+    http::Timer closeCheckTimer_; ///< Runs while reading is paused during a request, and once the answers are given up.
     http::Timer turnTimer_; ///< Runs while the backlog waits for the next turn of the loop.
     bool isParsing_ = false;
     std::string backlog_; ///< Bytes received after the request in progress.
@@ -96,6 +98,8 @@
     bool keepsAlive_ = true;
     bool isClosing_ = false; ///< The last answer is queued.
     bool hasEnded_ = false;
+    AnswerBuffers::Share unreadAnswers_; ///< What was queued for the caller when it was last sent something.
+    bool isGivenUp_ = false; ///< The caller has read too little of its answers, and is disconnected on the loop's next turn.
     std::size_t unacknowledgedBytes_ = 0; ///< Not acknowledged by the caller when timer_ was last started for an idle connection.
     std::string streamHead_; ///< Head of a stream, held back to be written together with the first piece.
     std::shared_ptr<ForwardedRequest> activeRequest_;
--- a/libs/forward/src/forwardcontext.h
+++ b/libs/forward/src/forwardcontext.h
@@ -43,6 +43,7 @@
         , connections(eventLoop)
         , random(seededRandom())
         , answerBuffers({.memoryLimit = options.memoryLimit, .heldBytes = metrics.heldAnswerBytes})
+        , unreadAnswers({.memoryLimit = options.memoryLimit, .heldBytes = metrics.unreadAnswerBytes})
         , coldMonitor({.loop = eventLoop, .endpoints = endpoints, .metrics = metrics})
         , statements({.protocol = options.protocol,
                       .endpoints = endpoints,
@@ -173,6 +174,7 @@
     EndpointConnectionPool connections;
     Random random;
     AnswerBuffers answerBuffers;
+    AnswerBuffers unreadAnswers; ///< Queued for callers.
     RequestLog log;
     ColdMonitor coldMonitor;
     StatementReader statements;
--- a/libs/forward/src/forwardmetrics.h
+++ b/libs/forward/src/forwardmetrics.h
@@ -27,6 +27,8 @@
         , reportedRequests(metrics.gauge("magnolia_forward_reported_requests", "Requests that endpoints were reported to have ended under."))
         , endlessAnswers(metrics.counter("magnolia_forward_endless_answers_total", "Answers given up since they were longer than any may be."))
         , heldAnswerBytes(metrics.gauge("magnolia_forward_held_answer_bytes", "Bytes held of answers that are not complete."))
+        , unreadAnswerBytes(metrics.gauge("magnolia_forward_unread_answer_bytes", "Bytes queued for callers, as of when they were last sent something."))
+        , unreadGivenUp(metrics.counter("magnolia_forward_unread_given_up_total", "Callers disconnected since unread answers filled their memory."))
         , heldBodyBytes(metrics.gauge("magnolia_forward_held_body_bytes", "Bytes reserved for large bodies of requests."))
         , bodiesDelayed(metrics.counter("magnolia_forward_bodies_delayed_total", "Large bodies that waited for memory before they were read."))
         , bodiesDenied(metrics.counter("magnolia_forward_bodies_denied_total", "Requests refused since there was no memory for their bodies."))
@@ -65,6 +67,8 @@
     observe::Gauge &reportedRequests;
     observe::Counter &endlessAnswers;
     observe::Gauge &heldAnswerBytes;
+    observe::Gauge &unreadAnswerBytes;
+    observe::Counter &unreadGivenUp;
     observe::Gauge &heldBodyBytes;
     observe::Counter &bodiesDelayed;
     observe::Counter &bodiesDenied;
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -408,7 +408,7 @@
 {
     answer.head.headers.removeHopByHop();
     firstByteAt_ = BootClock::now();
-    writer_->sendAnswer(answer.head.status, answer.head.headers, answer.body);
+    writer_->sendAnswer(answer.head.status, answer.head.headers, std::move(answer.body));
     context_.metrics.answers.add();
     context_.metrics.firstByte.record(firstByteAt_ - request_.receivedAt);
     finish("answered", answer.head.status, hasRetried_ ? "retried" : "");
