forward: the connection of a refused caller ends once it has sent its request

They had waited a second for memory and been refused; the entry ended its side of the connection at once, and a caller that reads nothing before it has sent its body took that for the end of the connection, without reading the 503.

Change: the rest of a refused request is read and dropped until it is complete, for two seconds at most; only then does the connection end.

Tests: body_overTheLimit_connectionEndsOnceTheCallerHasSentIt (in place of body_overTheLimit_callerGetsTheRefusal, which passed on the code before; the new one asks for the same answer and for the connection to stay until the body is sent) and body_overTheLimit_callerSendsNoMore_connectionEnds.

--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -31,7 +31,8 @@
 // Memory is reserved for bodies that are larger. As much is buffered for any connection.
 constexpr std::size_t MaxUnreservedBytes = MaxBacklogBytes;
 
-// How long the rest of a rejected request is read and dropped. With unread bytes the close would be a reset, which may destroy the answer on its way.
+// How long the rest of a rejected request is read and dropped. Many callers read nothing before they have sent it, and a close with unread bytes would be a
+// reset, which may destroy the answer on its way.
 constexpr Duration LingerTime{2000};
 
 // While reading is paused, the loop does not tell that the caller has disconnected.
@@ -106,6 +107,7 @@
 {
     const auto self = shared_from_this();
     if (isClosing_) {
+        dropRest(bytes);
         return;
     }
     if (activeRequest_ != nullptr && backlog_.empty()) {
@@ -347,7 +349,11 @@
     body_.reset();
     connection_->send(headOf(status, headers) + body);
     context_.log.logEnd({.requestId = requestId, .status = status, .outcome = "refused", .cause = reason});
-    closeAfterRejection();
+    if (parser_.hasHead() && !parser_.isBroken()) {
+        closeAfterRest();
+    } else {
+        closeAfterAnswer();
+    }
 }
 
 std::string CallerSession::headOf(int status, const http::HeaderList &headers) const
@@ -439,14 +445,26 @@
     waitWhileIdle();
 }
 
-/** Ends the session once the caller has sent the rest of its request, which is dropped, and closed the connection. */
-void CallerSession::closeAfterRejection()
+/** Ends the session once the caller has sent the rest of its request, which is dropped. */
+void CallerSession::closeAfterRest()
 {
     isClosing_ = true;
-    backlog_ = {};
-    connection_->shutdownWhenSent();
+    isDroppingRest_ = true;
     connection_->setReading(true);
     timer_.start(LingerTime);
+    dropRest(std::exchange(backlog_, {}));
+}
+
+void CallerSession::dropRest(std::string_view bytes)
+{
+    if (!isDroppingRest_) {
+        return;
+    }
+    parser_.feed(bytes, [](std::string_view) {});
+    if (parser_.isComplete() || parser_.isBroken()) {
+        isDroppingRest_ = false;
+        closeAfterAnswer();
+    }
 }
 
 void CallerSession::waitWhileIdle()
--- a/libs/forward/src/callersession.h
+++ b/libs/forward/src/callersession.h
@@ -69,7 +69,8 @@
     void finishAnswer();
     void countUnread();
     void closeAfterAnswer();
-    void closeAfterRejection();
+    void closeAfterRest();
+    void dropRest(std::string_view bytes);
     void waitWhileIdle();
     void onConnectionEnd();
     void onDrained();
@@ -97,6 +98,7 @@
     bool isHead_ = false; ///< The request in progress is a HEAD.
     bool keepsAlive_ = true;
     bool isClosing_ = false; ///< The last answer is queued.
+    bool isDroppingRest_ = false; ///< The request was rejected before all of it was received.
     bool hasEnded_ = false;
     AnswerBuffers::Share unreadAnswers_; ///< What was queued for the caller when it was last sent something.
     bool isGivenUp_ = false; ///< The caller has read too little of its answers, and is disconnected on the loop's next turn.
--- a/libs/forward/tests/largebodiestest.cpp
+++ b/libs/forward/tests/largebodiestest.cpp
@@ -153,17 +153,31 @@
     caller.send(chunk(piece) + chunk(piece));
     BOOST_TEST(runUntil([&] { return heldBytes() == BodyBytes; }));
     caller.send(LastChunk);
-    BOOST_TEST(runUntil([&] { return heldBytes() == BodyBytes / 2; }));
+    BOOST_TEST(runUntil([&] { return heldBytes() == static_cast<double>(2 * piece.size()); }));
     BOOST_TEST(runUntil([&] { return caller.received().ends_with("body"); }));
     BOOST_TEST(heldBytes() == 0);
 }
 
-// Guards against a refusal that is lost since the caller is still sending when the connection is reset.
-BOOST_AUTO_TEST_CASE(body_overTheLimit_callerGetsTheRefusal)
+// Guards against a refusal that is lost since the connection ends while the caller is still sending.
+BOOST_AUTO_TEST_CASE(body_overTheLimit_connectionEndsOnceTheCallerHasSentIt)
 {
-    RawCaller &caller = addCaller(request("at-most-once", "POST", "Content-Length: 20000000\r\n") + std::string(20000000, 'b'));
+    const std::string body(2 * BodyBytes, 'b');
+    RawCaller &caller = addCaller(request("at-most-once", "POST", "Content-Length: " + std::to_string(body.size()) + "\r\n"));
     BOOST_TEST(runUntil([&] { return caller.received().ends_with("}"); }));
     BOOST_TEST(caller.received().starts_with("HTTP/1.1 413"));
+    caller.send(body.substr(1));
+    runFor(100ms);
+    BOOST_TEST(!caller.isClosed());
+    caller.send(body.substr(0, 1));
+    BOOST_TEST(runUntil([&] { return caller.isClosed(); }, 500ms));
+}
+
+// Guards against connections of refused callers that stay open although nothing more comes.
+BOOST_AUTO_TEST_CASE(body_overTheLimit_callerSendsNoMore_connectionEnds)
+{
+    RawCaller &caller = addCaller(request("at-most-once", "POST", "Content-Length: " + std::to_string(2 * BodyBytes) + "\r\n"));
+    BOOST_TEST(runUntil([&] { return caller.isClosed(); }, 3000ms));
+    BOOST_TEST(caller.received().starts_with("HTTP/1.1 413"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/http/include/http/connection.h
+++ b/libs/http/include/http/connection.h
@@ -65,8 +65,6 @@
     /** Closes once all queued output has left: at once if none is queued, else onEnd follows. */
     void closeWhenSent();
 
-    /** Tells the far end, once all queued output has left, that no more follows. Reading goes on. */
-    void shutdownWhenSent();
     void close();
 
     /** Closes it so that bytes which have not arrived yet are dropped: nobody may act on them any more. */
@@ -120,7 +118,6 @@
     bool isConnected_;
     bool hasSent_ = false;
     bool closesWhenSent_ = false;
-    bool shutsDownWhenSent_ = false;
     bool isReading_ = true;
     bool isWriteEventOn_ = false;
     Callbacks callbacks_;
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -131,17 +131,6 @@
     closesWhenSent_ = true;
 }
 
-void Connection::shutdownWhenSent()
-{
-    if (fd_ < 0) {
-        return;
-    }
-    shutsDownWhenSent_ = pendingBytes() > 0;
-    if (!shutsDownWhenSent_) {
-        ::shutdown(fd_, SHUT_WR);
-    }
-}
-
 void Connection::close()
 {
     if (fd_ < 0) {
@@ -252,9 +241,6 @@
     if (pendingBytes() > 0) {
         return;
     }
-    if (std::exchange(shutsDownWhenSent_, false)) {
-        ::shutdown(fd_, SHUT_WR);
-    }
     if (closesWhenSent_) {
         fail(ConnectionEnd::Closed);
         return;
--- a/libs/http/tests/connectiontest.cpp
+++ b/libs/http/tests/connectiontest.cpp
@@ -156,22 +156,6 @@
     BOOST_TEST(freed.expired());
 }
 
-BOOST_AUTO_TEST_CASE(shutdownWhenSent_outputQueued_farEndReadsItAndMaySendOn)
-{
-    const std::string much(1U << 20U, 'x');
-    connection->send(much);
-    connection->shutdownWhenSent();
-    std::size_t count = 0;
-    BOOST_TEST(runUntil([&] {
-        count += readFar().size();
-        char next = 0;
-        return count == much.size() && recv(far, &next, 1, MSG_PEEK) == 0;
-    }));
-    BOOST_TEST(::send(far, "rest", 4, 0) == 4);
-    BOOST_TEST(runUntil([&] { return received == "rest"; }));
-    BOOST_TEST(connection->isOpen());
-}
-
 BOOST_AUTO_TEST_CASE(callback_closesTheConnection_noOtherFollows)
 {
     connection->setCallbacks({.onData = [this](std::string_view) { connection->close(); }, .onEnd = [this](ConnectionEnd ended) { end = ended; }});
