--- a/libs/forward/tests/callersessiontest.cpp
+++ b/libs/forward/tests/callersessiontest.cpp
@@ -76,15 +76,6 @@
     {
         return valueOf("magnolia_forward_caller_connections");
     }
-
-    double valueOf(const std::string &metric) const
-    {
-        const std::string name = "\n" + metric + " ";
-        const std::string text = metrics.render();
-        const std::size_t at = text.find(name);
-        BOOST_REQUIRE(at != std::string::npos);
-        return std::stod(text.substr(at + name.size()));
-    }
 };
 
 } // namespace
--- a/libs/forward/tests/endlessanswertest.cpp
+++ b/libs/forward/tests/endlessanswertest.cpp
@@ -70,10 +70,7 @@
 
     double heldBytes() const
     {
-        const std::string name = "\nmagnolia_forward_held_answer_bytes ";
-        const std::string text = metrics.render();
-        const std::size_t at = text.find(name);
-        return at == std::string::npos ? -1 : std::stod(text.substr(at + name.size()));
+        return valueOf("magnolia_forward_held_answer_bytes");
     }
 
     std::vector<std::unique_ptr<EndlessPeer>> endless;
--- a/libs/forward/tests/forwardfixture.h
+++ b/libs/forward/tests/forwardfixture.h
@@ -186,6 +186,16 @@
         return sum;
     }
 
+    /** @return the value of a metric without labels. */
+    double valueOf(const std::string &metric) const
+    {
+        const std::string name = "\n" + metric + " ";
+        const std::string text = metrics.render();
+        const std::size_t at = text.find(name);
+        BOOST_REQUIRE(at != std::string::npos);
+        return std::stod(text.substr(at + name.size()));
+    }
+
     std::string livenessPath;
     std::size_t memoryLimit;
     observe::Metrics metrics;
--- a/libs/forward/tests/largebodiestest.cpp
+++ b/libs/forward/tests/largebodiestest.cpp
@@ -50,11 +50,7 @@
 
     double heldBytes() const
     {
-        const std::string name = "\nmagnolia_forward_held_body_bytes ";
-        const std::string text = metrics.render();
-        const std::size_t at = text.find(name);
-        BOOST_REQUIRE(at != std::string::npos);
-        return std::stod(text.substr(at + name.size()));
+        return valueOf("magnolia_forward_held_body_bytes");
     }
 
     std::vector<RawCaller *> large;
--- a/libs/forward/tests/unreadanswerstest.cpp
+++ b/libs/forward/tests/unreadanswerstest.cpp
@@ -34,15 +34,6 @@
         return *callers.back();
     }
 
-    double valueOf(const std::string &metric) const
-    {
-        const std::string name = "\n" + metric + " ";
-        const std::string text = metrics.render();
-        const std::size_t at = text.find(name);
-        BOOST_REQUIRE(at != std::string::npos);
-        return std::stod(text.substr(at + name.size()));
-    }
-
     bool isWhole(const RawCaller &caller) const
     {
         return caller.received().starts_with("HTTP/1.1 200") && caller.received().ends_with(answerBody);
