forward: logs and metrics tell what an answer proves about its request

The hypotheses about requests that were refused and ran differ in three facts that no line told: whether the connection of an attempt was kept from earlier requests, whether the answer named the request, and whether a request that ends may have run. Sending failed, Ended and the new Answer skipped tell them; two counters tell how often an answer names another request, or none.

No decision changes.

--- a/libs/forward/src/endpointattempt.cpp
+++ b/libs/forward/src/endpointattempt.cpp
@@ -182,6 +182,7 @@
         // A leftover answer to an earlier request on this connection: skip it, the answer to this request may follow.
         isSkipping_ = true;
         mustClose_ = true;
+        callbacks_.onSkipped(head);
         return true;
     }
     if (id == nullptr && isSuccess) {
@@ -189,6 +190,7 @@
         return false;
     }
     hasAnswer_ = true;
+    isAnswerNamed_ = id != nullptr;
     callbacks_.onHead(head);
     return connection_ != nullptr;
 }
--- a/libs/forward/src/endpointattempt.h
+++ b/libs/forward/src/endpointattempt.h
@@ -56,6 +56,7 @@
     struct Callbacks {
         std::function<void(http::MessageHead &)> onHead{};
         std::function<void(std::string_view)> onBody{};
+        std::function<void(const http::MessageHead &)> onSkipped{}; ///< An answer that is not to this request was received and is skipped.
         std::function<void(AttemptEnd)> onEnd{};
     };
 
@@ -77,6 +78,14 @@
     {
         return hasAnswer_;
     }
+    bool isReused() const ///< Its connection carried other requests before.
+    {
+        return isReused_;
+    }
+    bool isAnswerNamed() const ///< The answer has the id of this request.
+    {
+        return isAnswerNamed_;
+    }
 
 private:
     void onConnected();
@@ -94,6 +103,7 @@
     std::size_t bytesBeforeAnswer_ = 0; ///< Received before the end of the answer's head.
     bool isReused_ = false;
     bool hasAnswer_ = false;
+    bool isAnswerNamed_ = false;
     bool isSkipping_ = false; ///< The message that is being read is not the final answer to this request.
     bool mustClose_ = false; ///< The connection must not be reused.
 };
--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -564,6 +564,7 @@
                          .status = status,
                          .outcome = outcome,
                          .cause = cause,
+                         .mayHaveRun = mayHaveRun_,
                          .took = now - request_.receivedAt,
                          .firstByte = firstByteAt_ == BootTime() ? BootClock::duration(0) : firstByteAt_ - request_.receivedAt,
                          .events = eventCount_,
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -106,6 +106,7 @@
     // Answers.
     void onAnswerHead(http::MessageHead &head);
     void onAnswerBody(std::string_view piece);
+    void onAnswerSkipped(const http::MessageHead &head);
     void onAttemptEnd(AttemptEnd end);
     bool dispatchUnsent(AttemptEnd end);
     void handleWholeAnswer();
@@ -180,6 +181,7 @@
     bool needsRetryBudget_ = false; ///< The next attempt is a retry and must be granted by the retry budget.
     BootTime refusedAt_; ///< When an endpoint last refused the request because its group was not running or it asked for rest.
     std::shared_ptr<EndpointAttempt> attempt_;
+    AttemptEvidence evidence_; ///< Of the latest attempt that has ended.
     routing::EndpointPointer endpoint_; ///< Endpoint of the latest attempt.
     BootTime sentAt_;
     BootTime lastReceivedAt_; ///< When the endpoint last sent data for this request.
--- a/libs/forward/src/forwardmetrics.h
+++ b/libs/forward/src/forwardmetrics.h
@@ -26,6 +26,8 @@
         , quarantined(metrics.counter("magnolia_forward_quarantined_total", "Requests refused since endpoints ended under their like."))
         , reportedRequests(metrics.gauge("magnolia_forward_reported_requests", "Requests that endpoints were reported to have ended under."))
         , endlessAnswers(metrics.counter("magnolia_forward_endless_answers_total", "Answers given up since they were longer than any may be."))
+        , unnamedAnswers(metrics.counter("magnolia_forward_unnamed_answers_total", "Endpoints' answers that name no request, each taken for the one due."))
+        , skippedAnswers(metrics.counter("magnolia_forward_skipped_answers_total", "Endpoints' answers that were not to the request in progress."))
         , heldAnswerBytes(metrics.gauge("magnolia_forward_held_answer_bytes", "Bytes held of answers that are not complete."))
         , unreadAnswerBytes(metrics.gauge("magnolia_forward_unread_answer_bytes", "Bytes queued for callers, as of when they were last sent something."))
         , unreadGivenUp(metrics.counter("magnolia_forward_unread_given_up_total", "Callers disconnected since unread answers filled their memory."))
@@ -66,6 +68,8 @@
     observe::Counter &quarantined;
     observe::Gauge &reportedRequests;
     observe::Counter &endlessAnswers;
+    observe::Counter &unnamedAnswers;
+    observe::Counter &skippedAnswers;
     observe::Gauge &heldAnswerBytes;
     observe::Gauge &unreadAnswerBytes;
     observe::Counter &unreadGivenUp;
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -81,6 +81,7 @@
         endpoint_->stated->availability.onAnswer(sentAt_);
     }
     incoming_.head = head;
+    context_.metrics.unnamedAnswers.add(attempt_->isAnswerNamed() ? 0 : 1);
     releaseUnstarted();
     context_.endpoints.onAnswerStarted(*endpoint_, sentAt_);
     if (isSuccess(head.status)) {
@@ -99,6 +100,13 @@
     }
 }
 
+void ForwardedRequest::onAnswerSkipped(const http::MessageHead &head)
+{
+    context_.metrics.skippedAnswers.add();
+    const std::string_view id = head.headers.value(context_.options.protocol.requestId);
+    context_.log.logSkippedAnswer({.requestId = requestId_, .endpoint = endpoint_->record.id, .answerId = id, .status = head.status});
+}
+
 /** Whether the answer states a body that is larger than any that is buffered. */
 bool ForwardedRequest::isOverLimit(const http::MessageHead &head) const
 {
--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -146,6 +146,7 @@
                                                                           .maxIdle = isAtMostOnce ? MaxIdleAtMostOnce : MaxIdle},
                                                  EndpointAttempt::Callbacks{.onHead = [this](http::MessageHead &head) { onAnswerHead(head); },
                                                                             .onBody = [this](std::string_view piece) { onAnswerBody(piece); },
+                                                                            .onSkipped = [this](const http::MessageHead &head) { onAnswerSkipped(head); },
                                                                             .onEnd = [this](AttemptEnd end) { onAttemptEnd(end); }});
     ++endpoint->inFlight;
     endpoint->suspectRequests += isSuspect_ ? 1 : 0;
@@ -260,7 +261,8 @@
                                    .atFault = atFault,
                                    .decision = decision,
                                    .took = BootClock::now() - sentAt_,
-                                   .concurrentRequests = endpoint_->inFlight});
+                                   .concurrentRequests = endpoint_->inFlight,
+                                   .evidence = evidence_});
 }
 
 /** Logs the state of the current attempt and its endpoint. Called before the attempt is cancelled. */
@@ -383,6 +385,7 @@
         return;
     }
     attempt->cancel();
+    evidence_ = {.isReused = attempt->isReused(), .hasAnswer = attempt->hasAnswer(), .isAnswerNamed = attempt->isAnswerNamed()};
     context_.livenessMonitor.removeRequest(endpoint_->record.id, this);
     releaseUnstarted();
     timer_.stop();
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -32,13 +32,14 @@
         return;
     }
     log()->info(
-        "Ended id={} fingerprint={} outcome={} status={} cause={} route={} service={} organisation={} endpoint={} sendings={} took_ms={} first_ms={} events={} "
+        "Ended id={} fingerprint={} outcome={} status={} cause={} may_have_run={} route={} service={} organisation={} endpoint={} sendings={} took_ms={} first_ms={} events={} "
         "waited_ms={} longest_pause_ms={} objective_ms={} pause_objective_ms={} routes_version={} proof_age_ms={}",
         record.requestId,
         record.fingerprint,
         record.outcome,
         record.status,
         record.cause,
+        record.mayHaveRun,
         record.route,
         record.service,
         record.organisation,
@@ -60,7 +61,8 @@
     if (!reserveLine()) {
         return;
     }
-    log()->info("Sending failed id={} fingerprint={} parts={} endpoint={} end={} status={} at_fault={} decision={} took_ms={} alongside={}",
+    log()->info("Sending failed id={} fingerprint={} parts={} endpoint={} end={} status={} at_fault={} decision={} took_ms={} alongside={} kept={} answered={} "
+                "named={}",
                 record.requestId,
                 record.fingerprint,
                 fmt::join(record.promptParts, " "),
@@ -70,7 +72,17 @@
                 record.atFault,
                 record.decision,
                 milliseconds(record.took),
-                record.concurrentRequests);
+                record.concurrentRequests,
+                record.evidence.isReused,
+                record.evidence.hasAnswer,
+                record.evidence.isAnswerNamed);
+}
+
+void RequestLog::logSkippedAnswer(const SkippedAnswerRecord &record)
+{
+    if (reserveLine()) {
+        log()->info("Answer skipped id={} endpoint={} answer_id={} status={}", record.requestId, record.endpoint, record.answerId, record.status);
+    }
 }
 
 void RequestLog::logRetryDecision(const RetryDecisionRecord &record)
--- a/libs/forward/src/requestlog.h
+++ b/libs/forward/src/requestlog.h
@@ -27,6 +27,7 @@
     int status = 0; ///< Sent to the caller; 0: none, the connection was closed.
     std::string_view outcome{}; ///< "answered", "refused", "failed", "cut" or "hung-up".
     std::string_view cause{}; ///< Reason for an outcome other than a relayed answer.
+    bool mayHaveRun = false; ///< At an endpoint.
     BootClock::duration took{};
     BootClock::duration firstByte{}; ///< From the request's first byte to the answer's; 0: no answer.
     std::uint64_t events = 0; ///< Relayed pieces of a stream.
@@ -37,6 +38,13 @@
     std::string_view fingerprint{}; ///< Identical for all requests with the same content, e.g. a caller's retries.
 };
 
+/** What tells whether the answer to an attempt is the answer to its request. */
+struct AttemptEvidence {
+    bool isReused = false; ///< The connection carried other requests before.
+    bool hasAnswer = false;
+    bool isAnswerNamed = false; ///< The answer has the id of the request.
+};
+
 /** An attempt whose answer was not relayed. */
 struct FailedAttemptRecord {
     std::string_view requestId{};
@@ -49,6 +57,15 @@
     std::string_view decision{}; ///< What happens to the request next.
     BootClock::duration took{}; ///< From dispatch to the end of the attempt.
     std::uint32_t concurrentRequests = 0; ///< Other requests of this instance in progress at the endpoint.
+    AttemptEvidence evidence{};
+};
+
+/** An answer that was received in place of the one to a request. */
+struct SkippedAnswerRecord {
+    std::string_view requestId{}; ///< Of the request whose answer is due.
+    std::string_view endpoint{};
+    std::string_view answerId{}; ///< Empty: the answer names no request.
+    int status = 0;
 };
 
 /** An attempt that was cancelled while in progress. */
@@ -108,6 +125,8 @@
 
     void logFailedAttempt(const FailedAttemptRecord &record);
 
+    void logSkippedAnswer(const SkippedAnswerRecord &record);
+
     void logCancelledAttempt(const CancelledAttemptRecord &record);
 
     void logClassRejection(const ClassRejectionRecord &record);
--- a/libs/http/tests/rawpeer.h
+++ b/libs/http/tests/rawpeer.h
@@ -87,6 +87,11 @@
     {
         return lastRequest_;
     }
+    /** @return a value that stands for the connection of the last request. */
+    const void *lastConnection() const
+    {
+        return lastConnection_;
+    }
     std::size_t open() const
     {
         return streams_.size();
@@ -168,6 +173,7 @@
             return;
         }
         peer->lastRequest_ = received;
+        peer->lastConnection_ = stream;
         const Answer answer = peer->script_(++peer->requests_);
         bufferevent_write(stream, answer.bytes.data(), answer.bytes.size());
         for (const LaterBytes &later : answer.later) {
@@ -213,6 +219,7 @@
     int connections_ = 0;
     int requests_ = 0;
     std::string lastRequest_;
+    const void *lastConnection_ = nullptr;
 };
 
 /** A caller that sends whatever bytes a test likes. */
