forward: an answer without an id is not the answer to whatever is due

Callers saw 503 for requests that an endpoint ran, and some ran twice: a rejection that named no request was taken for the answer that was due on its connection, and for a proof. A failure without an id was accepted as any other, and a connection was taken from the pool without a look at what was unread on it, so that bytes from before the request answered it.

Now only an answer with the request's id proves that it did not run. Without an id it is skipped on a connection that carried other requests, as one with another id is, and the answer to the request may follow; on a new connection it is relayed, but proves nothing. A kept connection with unread bytes, or one that the endpoint has closed, is not taken; a request without an id has a connection of its own. A success that states that it did not run proves neither.

The new cases of AnswerKindTest and ConnectionTest cover the decision and the look. Ruled out: ending the attempt at an answer without an id on a kept connection: the request whose answer follows would be lost.

--- a/libs/forward/src/answerkind.cpp
+++ b/libs/forward/src/answerkind.cpp
@@ -33,12 +33,13 @@
 
 } // namespace
 
-AnswerKind classifyAnswer(const http::MessageHead &head, const Protocol &protocol, const AnsweringEndpoint &from)
+AnswerKind classifyAnswer(const http::MessageHead &head, bool isNamed, const Protocol &protocol, const AnsweringEndpoint &from)
 {
-    if (head.status == StatusMisdirected || head.headers.find(protocol.notRun) != nullptr) {
+    const bool isSuccess = head.status >= StatusOk && head.status < FirstRedirect;
+    const bool isRejection = head.status == StatusMisdirected || head.headers.find(protocol.notRun) != nullptr;
+    if (isRejection && isNamed && !isSuccess) {
         return classifyRejection(head, protocol, from);
     }
-    const bool isSuccess = head.status >= StatusOk && head.status < FirstRedirect;
     if (isSuccess && head.headers.find(protocol.answerProof) == nullptr) {
         return AnswerKind::Unproved;
     }
--- a/libs/forward/src/answerkind.h
+++ b/libs/forward/src/answerkind.h
@@ -28,7 +28,8 @@
     bool doOthersServe = false; ///< Another endpoint of the service began a successful answer just before.
 };
 
-AnswerKind classifyAnswer(const http::MessageHead &head, const Protocol &protocol, const AnsweringEndpoint &from);
+/** @param isNamed whether the answer has the id of the request. Otherwise it can't prove that the request did not run. */
+AnswerKind classifyAnswer(const http::MessageHead &head, bool isNamed, const Protocol &protocol, const AnsweringEndpoint &from);
 
 /** @return true if the answer proves that the request did not run and never will. */
 constexpr bool isNotRun(AnswerKind kind)
--- a/libs/forward/src/endpointattempt.cpp
+++ b/libs/forward/src/endpointattempt.cpp
@@ -67,7 +67,8 @@
 bool EndpointAttempt::start()
 {
     const routing::EndpointRecord &record = options_.endpoint->record;
-    connection_ = options_.connections->take(record.id, options_.maxIdle);
+    const bool isMatchedById = !options_.requestId.empty();
+    connection_ = isMatchedById ? options_.connections->take(record.id, options_.maxIdle) : nullptr;
     isReused_ = connection_ != nullptr;
     if (!isReused_) {
         const auto address = http::SocketAddress::parse(record.address);
@@ -177,20 +178,21 @@
         return true;
     }
     const std::string *id = head.headers.find(options_.protocol->requestId);
-    const bool isSuccess = head.status < FirstRedirectStatus;
-    if (id != nullptr && *id != options_.requestId) {
-        // A leftover answer to an earlier request on this connection: skip it, the answer to this request may follow.
+    isAnswerNamed_ = id == nullptr ? options_.requestId.empty() : *id == options_.requestId;
+    const bool isForOther = !isAnswerNamed_ && id != nullptr;
+    if (isForOther || (!isAnswerNamed_ && isReused_)) {
+        // Probably left over from an earlier request on this connection: the answer to this request may follow.
         isSkipping_ = true;
         mustClose_ = true;
         callbacks_.onSkipped(head);
         return true;
     }
-    if (id == nullptr && isSuccess) {
+    const bool isSuccess = head.status < FirstRedirectStatus;
+    if (!isAnswerNamed_ && isSuccess) {
         finish(AttemptEnd::Invalid); // A successful answer without an id can't be matched to this request.
         return false;
     }
     hasAnswer_ = true;
-    isAnswerNamed_ = id != nullptr;
     callbacks_.onHead(head);
     return connection_ != nullptr;
 }
@@ -206,7 +208,7 @@
         return;
     }
     const bool isAllSent = connection_->pendingBytes() == 0;
-    releaseConnection(parser_.head().keepAlive && !mustClose_ && trailing.empty() && isAllSent);
+    releaseConnection(parser_.head().keepAlive && isAnswerNamed_ && !mustClose_ && trailing.empty() && isAllSent);
     callbacks_.onEnd(AttemptEnd::Complete);
 }
 
--- a/libs/forward/src/endpointconnectionpool.cpp
+++ b/libs/forward/src/endpointconnectionpool.cpp
@@ -30,7 +30,7 @@
         Idle last = std::move(idle.back());
         idle.pop_back();
         last.connection->setCallbacks({});
-        if (last.connection->isOpen() && now < last.until && now - last.since <= maxIdle) {
+        if (last.connection->isQuiet() && now < last.until && now - last.since <= maxIdle) {
             return last.connection;
         }
         last.connection->close();
--- a/libs/forward/src/requestanswers.cpp
+++ b/libs/forward/src/requestanswers.cpp
@@ -283,6 +283,7 @@
 {
     const bool hasCurrentLoad = endpoint_->reportedAt == lastReceivedAt_;
     const AnswerKind kind = classifyAnswer(incoming_.head,
+                                           attempt_->isAnswerNamed(),
                                            context_.options.protocol,
                                            {.endpoint = *endpoint_,
                                             .hasCurrentLoad = hasCurrentLoad,
--- a/libs/forward/tests/answerkindtest.cpp
+++ b/libs/forward/tests/answerkindtest.cpp
@@ -27,12 +27,13 @@
         if (header == protocol.endpointAtFault) {
             head.headers.add(protocol.notRun, "1");
         }
-        return classifyAnswer(head, protocol, {.endpoint = endpoint, .hasCurrentLoad = hasCurrentLoad, .doOthersServe = doOthersServe});
+        return classifyAnswer(head, isNamed, protocol, {.endpoint = endpoint, .hasCurrentLoad = hasCurrentLoad, .doOthersServe = doOthersServe});
     }
 
     Protocol protocol;
     routing::Endpoint endpoint;
     bool doOthersServe = false;
+    bool isNamed = true;
 };
 
 } // namespace
@@ -60,6 +61,21 @@
     BOOST_TEST((kindOf(408) == AnswerKind::Failure));
 }
 
+// Guards against a rejection that names no request, and may be to another one, being taken for a proof.
+BOOST_AUTO_TEST_CASE(rejection_withoutId_provesNothing)
+{
+    isNamed = false;
+    BOOST_TEST((kindOf(503, protocol.notRun) == AnswerKind::Failure));
+    BOOST_TEST((kindOf(421) == AnswerKind::Failure));
+    BOOST_TEST((kindOf(503, protocol.endpointAtFault, "10.0.0.9:80") == AnswerKind::Failure));
+}
+
+// Guards against a success that also states that the request did not run being taken for a rejection.
+BOOST_AUTO_TEST_CASE(success_statesNotRun_provesNothing)
+{
+    BOOST_TEST((kindOf(200, protocol.notRun) == AnswerKind::Unproved));
+}
+
 BOOST_AUTO_TEST_CASE(rejection_misdirected_isForAnotherEndpointAtTheAddress)
 {
     BOOST_TEST((kindOf(421) == AnswerKind::AddressTaken));
--- a/libs/http/include/http/connection.h
+++ b/libs/http/include/http/connection.h
@@ -76,6 +76,9 @@
     /** The far end has closed or reset its side, and all that it sent has been read or reading is stopped; onEnd may not have been called yet. */
     bool isClosedByPeer() const;
 
+    /** It is open, and the far end has sent nothing that has not been read, nor closed it. */
+    bool isQuiet() const;
+
     bool isOpen() const
     {
         return fd_ >= 0;
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -180,6 +180,12 @@
     return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+bool Connection::isQuiet() const
+{
+    char next = 0;
+    return fd_ >= 0 && recv(fd_, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 std::size_t Connection::unacknowledgedBytes() const
 {
     int held = 0;
--- a/libs/http/tests/connectiontest.cpp
+++ b/libs/http/tests/connectiontest.cpp
@@ -84,6 +84,20 @@
     BOOST_TEST(!connection->isOpen());
 }
 
+// Guards against a connection being used for a request while bytes that belong to none wait to be read on it.
+BOOST_AUTO_TEST_CASE(farEnd_sendsOrCloses_isNotQuietBeforeThatIsRead)
+{
+    BOOST_TEST(connection->isQuiet());
+    BOOST_TEST(::send(far, "bytes", 5, 0) == 5);
+    BOOST_TEST(!connection->isQuiet());
+    BOOST_TEST(runUntil([&] { return received == "bytes"; }));
+    BOOST_TEST(connection->isQuiet());
+    close(far);
+    far = -1;
+    BOOST_TEST(connection->isOpen());
+    BOOST_TEST(!connection->isQuiet());
+}
+
 BOOST_AUTO_TEST_CASE(reading_off_bytesStayUntilItIsOn)
 {
     connection->setReading(false);
