forward: a request is sent again to an endpoint on another connection

One request ran twice, or was refused although it ran: an endpoint rejected it for a moment, the entry sent it there again on the same connection, and the first rejection came once more, at the point where the next answer was due. Both sendings have the same id, so the id can't tell their answers apart.

A request remembers the connections that it used, and the pool gives it another one or none; the others stay for other requests. What still comes on the old connection is read there and closes it.

Ruled out: closing a connection after each rejection. Full endpoints reject most of what they get, and each rejection would cost a new connection.

--- a/libs/forward/src/endpointattempt.cpp
+++ b/libs/forward/src/endpointattempt.cpp
@@ -68,7 +68,7 @@
 {
     const routing::EndpointRecord &record = options_.endpoint->record;
     const bool isMatchedById = !options_.requestId.empty();
-    connection_ = isMatchedById ? options_.connections->take(record.id, options_.maxIdle) : nullptr;
+    connection_ = isMatchedById ? options_.connections->take(record.id, options_.maxIdle, options_.excluded) : nullptr;
     isReused_ = connection_ != nullptr;
     if (!isReused_) {
         const auto address = http::SocketAddress::parse(record.address);
@@ -77,6 +77,7 @@
     if (connection_ == nullptr) {
         return false;
     }
+    chosenConnection_ = connection_;
     connection_->setCallbacks({
         .onConnected = [this] { onConnected(); },
         .onData = [this](std::string_view bytes) { onBytes(bytes); },
--- a/libs/forward/src/endpointattempt.h
+++ b/libs/forward/src/endpointattempt.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -52,6 +53,7 @@
         std::shared_ptr<const std::string> body{}; ///< Null if it has none.
         bool isHead = false; ///< Its method is HEAD.
         Duration maxIdle{0}; ///< Maximum idle time of a pooled connection that may be used.
+        std::span<const std::weak_ptr<http::Connection>> excluded{}; ///< Connections that must not be used. Used by start() only.
     };
 
     struct Callbacks {
@@ -79,6 +81,11 @@
     {
         return hasAnswer_;
     }
+    /** @return the connection that start() chose. */
+    const std::weak_ptr<http::Connection> &connection() const
+    {
+        return chosenConnection_;
+    }
     bool isReused() const ///< Its connection carried other requests before.
     {
         return isReused_;
@@ -100,6 +107,7 @@
     Options options_;
     Callbacks callbacks_;
     std::shared_ptr<http::Connection> connection_;
+    std::weak_ptr<http::Connection> chosenConnection_;
     http::MessageParser parser_{http::MessageParser::Kind::Answer};
     std::size_t bytesBeforeAnswer_ = 0; ///< Received before the end of the answer's head.
     bool isReused_ = false;
--- a/libs/forward/src/endpointconnectionpool.cpp
+++ b/libs/forward/src/endpointconnectionpool.cpp
@@ -11,6 +11,11 @@
 
 constexpr Duration SweepInterval{500};
 
+bool contains(std::span<const std::weak_ptr<http::Connection>> connections, const std::shared_ptr<http::Connection> &wanted)
+{
+    return std::any_of(connections.begin(), connections.end(), [&](const auto &connection) { return connection.lock() == wanted; });
+}
+
 } // namespace
 
 EndpointConnectionPool::EndpointConnectionPool(event_base *loop) : sweepTimer_(loop, [this] { sweep(); })
@@ -18,7 +23,9 @@
     sweepTimer_.start(SweepInterval);
 }
 
-std::shared_ptr<http::Connection> EndpointConnectionPool::take(std::string_view endpoint, Duration maxIdle)
+std::shared_ptr<http::Connection> EndpointConnectionPool::take(std::string_view endpoint,
+                                                               Duration maxIdle,
+                                                               std::span<const std::weak_ptr<http::Connection>> excluded)
 {
     const auto found = idle_.find(endpoint);
     if (found == idle_.end()) {
@@ -26,9 +33,13 @@
     }
     const BootTime now = BootClock::now();
     std::vector<Idle> &idle = found->second;
-    while (!idle.empty()) {
-        Idle last = std::move(idle.back());
-        idle.pop_back();
+    for (std::size_t left = idle.size(); left > 0; --left) {
+        const auto at = idle.begin() + static_cast<std::ptrdiff_t>(left - 1);
+        if (contains(excluded, at->connection)) {
+            continue;
+        }
+        const Idle last = std::move(*at);
+        idle.erase(at);
         last.connection->setCallbacks({});
         if (last.connection->isQuiet() && now < last.until && now - last.since <= maxIdle) {
             return last.connection;
--- a/libs/forward/src/endpointconnectionpool.h
+++ b/libs/forward/src/endpointconnectionpool.h
@@ -7,6 +7,7 @@
 #include "routing/routetable.h"
 
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,8 +27,12 @@
     EndpointConnectionPool(const EndpointConnectionPool &) = delete;
     EndpointConnectionPool &operator=(const EndpointConnectionPool &) = delete;
 
-    /** @param maxIdle connections that have been idle for longer are closed instead. @return null if none is available. */
-    std::shared_ptr<http::Connection> take(std::string_view endpoint, Duration maxIdle);
+    /**
+     * @param maxIdle connections that have been idle for longer are closed instead.
+     * @param excluded connections that must not be taken; they stay in the pool.
+     * @return null if none is available.
+     */
+    std::shared_ptr<http::Connection> take(std::string_view endpoint, Duration maxIdle, std::span<const std::weak_ptr<http::Connection>> excluded = {});
 
     /** @param keepFor how long the endpoint keeps an idle connection open, as it stated. */
     void put(const std::string &endpoint, std::shared_ptr<http::Connection> connection, Duration keepFor);
--- a/libs/forward/src/forwardedrequest.h
+++ b/libs/forward/src/forwardedrequest.h
@@ -181,6 +181,7 @@
     bool needsRetryBudget_ = false; ///< The next attempt is a retry and must be granted by the retry budget.
     BootTime refusedAt_; ///< When an endpoint last refused the request because its group was not running or it asked for rest.
     std::shared_ptr<EndpointAttempt> attempt_;
+    std::vector<std::weak_ptr<http::Connection>> usedConnections_; ///< A late second answer to an attempt can't be told from the answer to the next one there.
     AttemptEvidence evidence_; ///< Of the latest attempt that has ended.
     routing::EndpointPointer endpoint_; ///< Endpoint of the latest attempt.
     BootTime sentAt_;
--- a/libs/forward/src/requestattempts.cpp
+++ b/libs/forward/src/requestattempts.cpp
@@ -143,7 +143,8 @@
                                                                           .head = headFor(*endpoint),
                                                                           .body = request_.body,
                                                                           .isHead = request_.head.method == "HEAD",
-                                                                          .maxIdle = isAtMostOnce ? MaxIdleAtMostOnce : MaxIdle},
+                                                                          .maxIdle = isAtMostOnce ? MaxIdleAtMostOnce : MaxIdle,
+                                                                          .excluded = usedConnections_},
                                                  EndpointAttempt::Callbacks{.onHead = [this](http::MessageHead &head) { onAnswerHead(head); },
                                                                             .onBody = [this](std::string_view piece) { onAnswerBody(piece); },
                                                                             .onSkipped = [this](const http::MessageHead &head) { onAnswerSkipped(head); },
@@ -171,6 +172,7 @@
         onAttemptEnd(AttemptEnd::NotSent);
         return;
     }
+    usedConnections_.push_back(attempt_->connection());
     startTimer();
 }
 
