forward: an attempt is given up for another endpoint only if there is one

Callers got a 502 for a request that could be repeated, although its answer was being received: after twice the route's latency objective the attempt was cancelled to try elsewhere, and then no other endpoint could run it. A move asks now whether there is another endpoint first; without one the attempt goes on and is reviewed again.

Evidence: sole_endpoint_test failed in three of three runs before (listed), and passes; caller_session_test, which failed for the same reason on a busy machine, passes, as do silent_endpoint_test, caller_patience_test and forward_test.

--- a/libs/forward/src/forwardedrequest.cpp
+++ b/libs/forward/src/forwardedrequest.cpp
@@ -440,7 +440,8 @@
     if (mayMove && route_->kind == RouteKind::Stream && !context_.endpoints.canAdmitStream(service_, now, context_.random)) {
         return false; // It would only queue behind other requests there; checked again soon.
     }
-    if (mayMove && moveToOtherEndpoint(cause)) {
+    const bool hasOther = mayMove && chooseEndpoint() != nullptr; // Without one a move would only end an attempt that may still succeed.
+    if (hasOther && moveToOtherEndpoint(cause)) {
         return true;
     }
     // A running stream continues if the endpoint recovers, and a request that may not be repeated can be answered only by it.
