--- a/libs/forward/src/endpointconnectionpool.cpp
+++ b/libs/forward/src/endpointconnectionpool.cpp
@@ -23,9 +23,8 @@
     sweepTimer_.start(SweepInterval);
 }
 
-std::shared_ptr<http::Connection> EndpointConnectionPool::take(std::string_view endpoint,
-                                                               Duration maxIdle,
-                                                               std::span<const std::weak_ptr<http::Connection>> excluded)
+std::shared_ptr<http::Connection>
+EndpointConnectionPool::take(std::string_view endpoint, Duration maxIdle, std::span<const std::weak_ptr<http::Connection>> excluded)
 {
     const auto found = idle_.find(endpoint);
     if (found == idle_.end()) {
--- a/libs/forward/src/endpointconnectionpool.h
+++ b/libs/forward/src/endpointconnectionpool.h
@@ -18,7 +18,8 @@
 /**
  * Pool of idle connections to endpoints.
  *
- * An idle connection that receives bytes is closed, since they belong to no request; also if they have not been read yet when it is taken. Owned by the task, used on its loop.
+ * An idle connection that receives bytes is closed, since they belong to no request; also if they have not been read yet when it is taken. Owned by the task,
+ * used on its loop.
  */
 class EndpointConnectionPool
 {
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -31,29 +31,29 @@
     if (!reserveLine()) {
         return;
     }
-    log()->info(
-        "Ended id={} fingerprint={} outcome={} status={} cause={} may_have_run={} route={} service={} organisation={} endpoint={} sendings={} took_ms={} first_ms={} events={} "
-        "waited_ms={} longest_pause_ms={} objective_ms={} pause_objective_ms={} routes_version={} proof_age_ms={}",
-        record.requestId,
-        record.fingerprint,
-        record.outcome,
-        record.status,
-        record.cause,
-        record.mayHaveRun,
-        record.route,
-        record.service,
-        record.organisation,
-        record.endpoint,
-        record.attempts,
-        milliseconds(record.took),
-        milliseconds(record.firstByte),
-        record.events,
-        milliseconds(record.slotWait),
-        milliseconds(record.longestPause),
-        record.objective.count(),
-        record.pauseObjective.count(),
-        record.routesVersion,
-        milliseconds(record.proofAge));
+    log()->info("Ended id={} fingerprint={} outcome={} status={} cause={} may_have_run={} route={} service={} organisation={} endpoint={} sendings={} "
+                "took_ms={} first_ms={} events={} "
+                "waited_ms={} longest_pause_ms={} objective_ms={} pause_objective_ms={} routes_version={} proof_age_ms={}",
+                record.requestId,
+                record.fingerprint,
+                record.outcome,
+                record.status,
+                record.cause,
+                record.mayHaveRun,
+                record.route,
+                record.service,
+                record.organisation,
+                record.endpoint,
+                record.attempts,
+                milliseconds(record.took),
+                milliseconds(record.firstByte),
+                record.events,
+                milliseconds(record.slotWait),
+                milliseconds(record.longestPause),
+                record.objective.count(),
+                record.pauseObjective.count(),
+                record.routesVersion,
+                milliseconds(record.proofAge));
 }
 
 void RequestLog::logFailedAttempt(const FailedAttemptRecord &record)
--- a/libs/http/tests/rawpeer.h
+++ b/libs/http/tests/rawpeer.h
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -87,8 +88,8 @@
     {
         return lastRequest_;
     }
-    /** @return a value that stands for the connection of the last request. */
-    const void *lastConnection() const
+    /** @return the number of the connection of the last request, in the order in which they were accepted. */
+    int lastConnection() const
     {
         return lastConnection_;
     }
@@ -137,9 +138,9 @@
 
     void sendLater(bufferevent *stream, const LaterBytes &later)
     {
-        timers_.push_back(std::make_unique<Timer>(loop_, [this, stream, bytes = later.bytes] {
+        timers_.push_back(std::make_unique<Timer>(loop_, [this, stream, number = numbers_[stream], bytes = later.bytes] {
             const bool isOpen = std::any_of(streams_.begin(), streams_.end(), [stream](const StreamPtr &open) { return open.get() == stream; });
-            if (isOpen) {
+            if (isOpen && numbers_[stream] == number) { // A later connection may have the same address in memory.
                 bufferevent_write(stream, bytes.data(), bytes.size());
             }
         }));
@@ -159,6 +160,7 @@
         StreamPtr stream(bufferevent_socket_new(peer->loop_, fd, BEV_OPT_CLOSE_ON_FREE));
         bufferevent_setcb(stream.get(), &RawPeer::onRead, &RawPeer::onWritten, &RawPeer::onEvent, peer);
         bufferevent_enable(stream.get(), EV_READ | EV_WRITE);
+        peer->numbers_[stream.get()] = peer->connections_;
         peer->streams_.push_back(std::move(stream));
     }
 
@@ -173,7 +175,7 @@
             return;
         }
         peer->lastRequest_ = received;
-        peer->lastConnection_ = stream;
+        peer->lastConnection_ = peer->numbers_[stream];
         const Answer answer = peer->script_(++peer->requests_);
         bufferevent_write(stream, answer.bytes.data(), answer.bytes.size());
         for (const LaterBytes &later : answer.later) {
@@ -219,7 +221,8 @@
     int connections_ = 0;
     int requests_ = 0;
     std::string lastRequest_;
-    const void *lastConnection_ = nullptr;
+    int lastConnection_ = 0;
+    std::map<bufferevent *, int> numbers_; ///< Of the connections.
 };
 
 /** A caller that sends whatever bytes a test likes. */
