--- a/libs/http/tests/rawpeer.h
+++ b/libs/http/tests/rawpeer.h
@@ -140,7 +140,8 @@
     {
         timers_.push_back(std::make_unique<Timer>(loop_, [this, stream, number = numbers_[stream], bytes = later.bytes] {
             const bool isOpen = std::any_of(streams_.begin(), streams_.end(), [stream](const StreamPtr &open) { return open.get() == stream; });
-            if (isOpen && numbers_[stream] == number) { // A later connection may have the same address in memory.
+            const bool isClosing = std::find(closing_.begin(), closing_.end(), stream) != closing_.end();
+            if (isOpen && !isClosing && numbers_[stream] == number) { // A later connection may have the same address in memory.
                 bufferevent_write(stream, bytes.data(), bytes.size());
             }
         }));
