--- a/libs/forward/src/endpointattempt.h
+++ b/libs/forward/src/endpointattempt.h
@@ -35,10 +35,12 @@
  *
  * Answers are matched by request id. An answer to another request, e.g. a late second one to the previous request, is
  * skipped, and the connection is not reused. So is an answer without an id on a connection that carried other requests; on
- * a new connection it counts as an answer that proves nothing. A request without an id has a connection of its own. A connection returns to the pool only if
- * the answer was complete, the endpoint allows keep-alive, the request had been sent in full before the answer ended, and no bytes followed the answer: an
- * endpoint that answers early still reads, and would take the next request for the rest of this one. Owned through shared_ptr; no callback runs after cancel().
- * Used on the thread of the event loop only.
+ * a new connection it counts as an answer that proves nothing. A request without an id has a connection of its own.
+ *
+ * A connection returns to the pool only if the answer was complete, the endpoint allows keep-alive, the request had been
+ * sent in full before the answer ended, and no bytes followed the answer: an endpoint that answers early still reads, and
+ * would take the next request for the rest of this one. Owned through shared_ptr; no callback runs after cancel(). Used on
+ * the thread of the event loop only.
  */
 class EndpointAttempt : public std::enable_shared_from_this<EndpointAttempt>
 {
--- a/libs/forward/src/requestlog.cpp
+++ b/libs/forward/src/requestlog.cpp
@@ -32,8 +32,7 @@
         return;
     }
     log()->info("Ended id={} fingerprint={} outcome={} status={} cause={} may_have_run={} route={} service={} organisation={} endpoint={} sendings={} "
-                "took_ms={} first_ms={} events={} "
-                "waited_ms={} longest_pause_ms={} objective_ms={} pause_objective_ms={} routes_version={} proof_age_ms={}",
+                "took_ms={} first_ms={} events={} waited_ms={} longest_pause_ms={} objective_ms={} pause_objective_ms={} routes_version={} proof_age_ms={}",
                 record.requestId,
                 record.fingerprint,
                 record.outcome,
