forward: a stated keep-alive time that no connection lasts is bounded

An endpoint's "Keep-Alive: timeout=" may be any number. One near the largest overflowed when it was converted to milliseconds, and the connection counted as outdated at once: the new test got two connections for two requests, one now. It is bounded by an hour.

--- a/libs/forward/src/endpointattempt.cpp
+++ b/libs/forward/src/endpointattempt.cpp
@@ -1,5 +1,6 @@
 #include "endpointattempt.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -15,6 +16,9 @@
 // Keep-alive time of an endpoint that does not state one.
 constexpr Duration DefaultKeepAlive{4000};
 
+// Limit on the keep-alive time that an endpoint may state.
+constexpr std::chrono::seconds MaxKeepAlive{3600};
+
 // An endpoint closes an idle connection when its stated keep-alive time ends. If a request is on its way at that moment, it
 // is unknown whether it ran, so the connection is closed this much earlier.
 constexpr Duration KeepAliveMargin{1000};
@@ -33,7 +37,7 @@
     const std::string_view digits = value.substr(at + Field.size());
     std::int64_t seconds = 0;
     std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-    return std::chrono::seconds(seconds) - KeepAliveMargin;
+    return std::clamp(std::chrono::seconds(seconds), std::chrono::seconds(0), MaxKeepAlive) - KeepAliveMargin;
 }
 
 } // namespace
--- a/libs/forward/tests/forwardtest.cpp
+++ b/libs/forward/tests/forwardtest.cpp
@@ -241,6 +241,17 @@
     BOOST_TEST(endpoint.connections() == 1);
 }
 
+// Guards against a stated keep-alive time that overflows when it is converted, after which the connection counted as outdated at once.
+BOOST_AUTO_TEST_CASE(connection_keptAliveForLongerThanAnyTime_isReused)
+{
+    putRoutes();
+    const std::string answer = wholeAnswer(200, "r1", "right");
+    RawPeer &endpoint = addEndpoint(answerAlways("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9223372036854775807\r\n" + answer.substr(answer.find("\r\n") + 2)));
+    answerTo(request("repeatable"), "right");
+    answerTo(request("repeatable"), "right");
+    BOOST_TEST(endpoint.connections() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(successAnswer_withoutProof_isTreatedAsFailure)
 {
     putRoutes();
