forward: a failure that also states "not run" proves nothing

Endpoints state it with the statuses of rejections (400, 408, 421, 429, 503); beside another status it contradicts its head. A failure that states it is a failure: relayed, or repeated if that is allowed.

The new tests failed before: 503 where the endpoint's 500 is due, and four statuses of AnswerKindTest.

--- a/libs/forward/src/answerkind.cpp
+++ b/libs/forward/src/answerkind.cpp
@@ -11,6 +11,12 @@
 namespace
 {
 
+/** Whether endpoints reject requests with this status. With another one the statement "not run" contradicts the head in which it stands. */
+bool isRejectionStatus(int status)
+{
+    return promisesNotRun(status) || status == StatusBadRequest;
+}
+
 AnswerKind classifyRejection(const http::MessageHead &head, const Protocol &protocol, const AnsweringEndpoint &from)
 {
     if (head.status == StatusMisdirected) {
@@ -36,8 +42,8 @@
 AnswerKind classifyAnswer(const http::MessageHead &head, bool isNamed, const Protocol &protocol, const AnsweringEndpoint &from)
 {
     const bool isSuccess = head.status >= StatusOk && head.status < FirstRedirect;
-    const bool isRejection = head.status == StatusMisdirected || head.headers.find(protocol.notRun) != nullptr;
-    if (isRejection && isNamed && !isSuccess) {
+    const bool statesNotRun = head.status == StatusMisdirected || head.headers.find(protocol.notRun) != nullptr;
+    if (statesNotRun && isNamed && isRejectionStatus(head.status)) {
         return classifyRejection(head, protocol, from);
     }
     if (isSuccess && head.headers.find(protocol.answerProof) == nullptr) {
--- a/libs/forward/tests/answerkindtest.cpp
+++ b/libs/forward/tests/answerkindtest.cpp
@@ -76,6 +76,18 @@
     BOOST_TEST((kindOf(200, protocol.notRun) == AnswerKind::Unproved));
 }
 
+// Guards against the same for a failure: the statement may belong to a rejection behind its remains.
+BOOST_AUTO_TEST_CASE(failure_statesNotRun_provesNothing)
+{
+    for (const int status : {500, 502, 504}) {
+        BOOST_TEST((kindOf(status, protocol.notRun) == AnswerKind::Failure));
+    }
+    BOOST_TEST((kindOf(404, protocol.notRun) == AnswerKind::Success));
+    for (const int status : {400, 408, 429, 503}) {
+        BOOST_TEST((kindOf(status, protocol.notRun) == AnswerKind::Refused));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(rejection_misdirected_isForAnotherEndpointAtTheAddress)
 {
     BOOST_TEST((kindOf(421) == AnswerKind::AddressTaken));
--- a/libs/forward/tests/forwardtest.cpp
+++ b/libs/forward/tests/forwardtest.cpp
@@ -242,6 +242,14 @@
     BOOST_TEST(contains(answerTo(request("at-most-once", "POST", "Content-Length: 0\r\n"), "}"), "HTTP/1.1 502"));
 }
 
+// Guards against the same if the rejection names no request.
+BOOST_AUTO_TEST_CASE(failure_cutOffInItsHeadersBeforeARejectionWithoutId_callerGetsTheFailure)
+{
+    putRoutes();
+    addEndpoint(answerAlways("HTTP/1.1 500 X\r\nX-Request-Id: r1\r\nX-Load: HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbody"));
+    BOOST_TEST(contains(answerTo(request("at-most-once", "POST", "Content-Length: 0\r\n"), "body"), "HTTP/1.1 500"));
+}
+
 BOOST_AUTO_TEST_CASE(connection_extraBytesAfterAnAnswer_isNotReused)
 {
     putRoutes();
