forward: a head that contains a second status line is no answer

A status line within a header's value shows where the second answer begins, whatever the first was: such an attempt ends as spoilt. A success that states "not run" is not relayed, even with its proof.

The new case of forward_test failed before with each of its four statuses, that of AnswerKindTest with a success that has its proof.

--- a/libs/forward/src/answerkind.cpp
+++ b/libs/forward/src/answerkind.cpp
@@ -41,12 +41,12 @@
 
 AnswerKind classifyAnswer(const http::MessageHead &head, bool isNamed, const Protocol &protocol, const AnsweringEndpoint &from)
 {
-    const bool isSuccess = head.status >= StatusOk && head.status < FirstRedirect;
     const bool statesNotRun = head.status == StatusMisdirected || head.headers.find(protocol.notRun) != nullptr;
     if (statesNotRun && isNamed && isRejectionStatus(head.status)) {
         return classifyRejection(head, protocol, from);
     }
-    if (isSuccess && head.headers.find(protocol.answerProof) == nullptr) {
+    const bool isSuccess = head.status >= StatusOk && head.status < FirstRedirect;
+    if (isSuccess && (statesNotRun || head.headers.find(protocol.answerProof) == nullptr)) {
         return AnswerKind::Unproved;
     }
     const bool isFailure = head.status >= FirstServerError || promisesNotRun(head.status);
--- a/libs/forward/src/answerkind.h
+++ b/libs/forward/src/answerkind.h
@@ -16,7 +16,7 @@
     GroupDown, ///< Not run: the endpoint's group can't run anything at the moment.
     Declined, ///< Not run, although the endpoint has free slots and others of its service serve.
     Refused, ///< Not run, e.g. because the endpoint is full.
-    Unproved, ///< A success without proof, which must not be relayed.
+    Unproved, ///< A success without proof, or one that states that the request did not run; it must not be relayed.
     Failure, ///< It may have run, and failed.
     Success,
 };
--- a/libs/forward/src/endpointattempt.cpp
+++ b/libs/forward/src/endpointattempt.cpp
@@ -40,13 +40,33 @@
     return std::clamp(std::chrono::seconds(seconds), std::chrono::seconds(0), MaxKeepAlive) - KeepAliveMargin;
 }
 
-/** Whether the head states the header several times, with different values. */
-bool isContradictory(const http::HeaderList &headers, std::string_view name)
+bool isDigit(char character)
 {
-    const std::string *first = headers.find(name);
+    return character >= '0' && character <= '9';
+}
+
+/** Whether the text contains the status line of an answer, such as "HTTP/1.1 503". */
+bool containsStatusLine(std::string_view text)
+{
+    constexpr std::string_view Begin = "HTTP/1.";
+    constexpr std::size_t VersionAndBlank = 2;
+    for (std::size_t at = text.find(Begin); at != std::string_view::npos; at = text.find(Begin, at + 1)) {
+        const std::string_view rest = text.substr(at + Begin.size());
+        if (rest.size() > VersionAndBlank && isDigit(rest[0]) && rest[1] == ' ' && isDigit(rest[VersionAndBlank])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Whether the head consists of the remains of one answer and another one: it contains a second status line, or names two requests. */
+bool isOfTwoAnswers(const http::HeaderList &headers, std::string_view requestId)
+{
+    const std::string *first = headers.find(requestId);
     const auto &fields = headers.fields();
-    return std::any_of(
-        fields.begin(), fields.end(), [&](const http::HeaderField &field) { return http::equalsIgnoringCase(field.name, name) && field.value != *first; });
+    return std::any_of(fields.begin(), fields.end(), [&](const http::HeaderField &field) {
+        return containsStatusLine(field.value) || (http::equalsIgnoringCase(field.name, requestId) && field.value != *first);
+    });
 }
 
 } // namespace
@@ -192,8 +212,8 @@
         isSkipping_ = true;
         return true;
     }
-    if (isContradictory(head.headers, options_.protocol->requestId)) {
-        finish(AttemptEnd::Invalid); // Probably the remains of one answer, and then another one.
+    if (isOfTwoAnswers(head.headers, options_.protocol->requestId)) {
+        finish(AttemptEnd::Invalid);
         return false;
     }
     const std::string *id = head.headers.find(options_.protocol->requestId);
--- a/libs/forward/tests/answerkindtest.cpp
+++ b/libs/forward/tests/answerkindtest.cpp
@@ -24,6 +24,9 @@
         if (!header.empty()) {
             head.headers.add(header, value);
         }
+        if (hasProof) {
+            head.headers.add(protocol.answerProof, "p");
+        }
         if (header == protocol.endpointAtFault) {
             head.headers.add(protocol.notRun, "1");
         }
@@ -34,6 +37,7 @@
     routing::Endpoint endpoint;
     bool doOthersServe = false;
     bool isNamed = true;
+    bool hasProof = false;
 };
 
 } // namespace
@@ -74,6 +78,9 @@
 BOOST_AUTO_TEST_CASE(success_statesNotRun_provesNothing)
 {
     BOOST_TEST((kindOf(200, protocol.notRun) == AnswerKind::Unproved));
+    hasProof = true;
+    BOOST_TEST((kindOf(200, protocol.notRun) == AnswerKind::Unproved));
+    BOOST_TEST((kindOf(200) == AnswerKind::Success));
 }
 
 // Guards against the same for a failure: the statement may belong to a rejection behind its remains.
--- a/libs/forward/tests/forwardtest.cpp
+++ b/libs/forward/tests/forwardtest.cpp
@@ -242,12 +242,19 @@
     BOOST_TEST(contains(answerTo(request("at-most-once", "POST", "Content-Length: 0\r\n"), "}"), "HTTP/1.1 502"));
 }
 
-// Guards against the same if the rejection names no request.
-BOOST_AUTO_TEST_CASE(failure_cutOffInItsHeadersBeforeARejectionWithoutId_callerGetsTheFailure)
+// Guards against the same if the rejection names no request, whatever status the answer has that is broken off.
+BOOST_AUTO_TEST_CASE(answer_cutOffInItsHeadersBeforeARejectionWithoutId_callerGetsNoPromise)
 {
     putRoutes();
-    addEndpoint(answerAlways("HTTP/1.1 500 X\r\nX-Request-Id: r1\r\nX-Load: HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbody"));
-    BOOST_TEST(contains(answerTo(request("at-most-once", "POST", "Content-Length: 0\r\n"), "body"), "HTTP/1.1 500"));
+    std::string status;
+    addEndpoint([&status](int) {
+        return RawPeer::Answer{.bytes = "HTTP/1.1 " + status
+                                   + " X\r\nX-Request-Id: r1\r\nX-Answer-Proof: p\r\nX-Load: HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbody"};
+    });
+    for (const char *brokenOff : {"200", "500", "503", "504"}) {
+        status = brokenOff;
+        BOOST_TEST(contains(answerTo(request("at-most-once", "POST", "Content-Length: 0\r\n"), "}"), "HTTP/1.1 502"), status);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(connection_extraBytesAfterAnAnswer_isNotReused)
