forward: a status line within a reason phrase shows two answers, one within another header's words does not

An answer may also be broken off in its status line: "HTTP/1.1 421 Misd" before a failure of the request was read as its rejection, which needs no statement, and "HTTP/1.1 200 O" made a failure a success. The parser keeps the reason phrase now, and it is looked at like the values. A status line ends with its three digits or a blank behind them, so that "Via: HTTP/1.1 10.0.0.1" is not taken for one.

The new tests failed before: three of five breaks (the other two are no message to the parser), and a success with such a Via was answered 502.

--- a/libs/forward/src/endpointattempt.cpp
+++ b/libs/forward/src/endpointattempt.cpp
@@ -40,19 +40,16 @@
     return std::clamp(std::chrono::seconds(seconds), std::chrono::seconds(0), MaxKeepAlive) - KeepAliveMargin;
 }
 
-bool isDigit(char character)
-{
-    return character >= '0' && character <= '9';
-}
-
 /** Whether the text contains the status line of an answer, such as "HTTP/1.1 503". */
 bool containsStatusLine(std::string_view text)
 {
     constexpr std::string_view Begin = "HTTP/1.";
-    constexpr std::size_t VersionAndBlank = 2;
+    constexpr std::string_view Form = "0 000"; // Minor version and status; 0 stands for any digit.
+    const auto isLike = [](char character, char wanted) { return wanted == '0' ? character >= '0' && character <= '9' : character == wanted; };
     for (std::size_t at = text.find(Begin); at != std::string_view::npos; at = text.find(Begin, at + 1)) {
         const std::string_view rest = text.substr(at + Begin.size());
-        if (rest.size() > VersionAndBlank && isDigit(rest[0]) && rest[1] == ' ' && isDigit(rest[VersionAndBlank])) {
+        const bool isWhole = rest.size() == Form.size() || (rest.size() > Form.size() && rest[Form.size()] == ' ');
+        if (isWhole && std::equal(Form.begin(), Form.end(), rest.begin(), [&](char wanted, char character) { return isLike(character, wanted); })) {
             return true;
         }
     }
@@ -60,13 +57,13 @@
 }
 
 /** Whether the head consists of the remains of one answer and another one: it contains a second status line, or names two requests. */
-bool isOfTwoAnswers(const http::HeaderList &headers, std::string_view requestId)
+bool isOfTwoAnswers(const http::MessageHead &head, std::string_view requestId)
 {
-    const std::string *first = headers.find(requestId);
-    const auto &fields = headers.fields();
-    return std::any_of(fields.begin(), fields.end(), [&](const http::HeaderField &field) {
-        return containsStatusLine(field.value) || (http::equalsIgnoringCase(field.name, requestId) && field.value != *first);
-    });
+    const std::string *first = head.headers.find(requestId);
+    const auto &fields = head.headers.fields();
+    return containsStatusLine(head.reason) || std::any_of(fields.begin(), fields.end(), [&](const http::HeaderField &field) {
+               return containsStatusLine(field.value) || (http::equalsIgnoringCase(field.name, requestId) && field.value != *first);
+           });
 }
 
 } // namespace
@@ -212,7 +209,7 @@
         isSkipping_ = true;
         return true;
     }
-    if (isOfTwoAnswers(head.headers, options_.protocol->requestId)) {
+    if (isOfTwoAnswers(head, options_.protocol->requestId)) {
         finish(AttemptEnd::Invalid);
         return false;
     }
--- a/libs/forward/tests/forwardtest.cpp
+++ b/libs/forward/tests/forwardtest.cpp
@@ -257,6 +257,27 @@
     }
 }
 
+// Guards against the same if it is broken off in its status line: 421 needs no statement, and a failure would be relayed as a success.
+BOOST_AUTO_TEST_CASE(answer_cutOffInItsStatusLineBeforeAnother_isNotRelayed)
+{
+    putRoutes();
+    std::string begin;
+    addEndpoint(
+        [&begin](int) { return RawPeer::Answer{.bytes = begin + "HTTP/1.1 500 X\r\nX-Request-Id: r1\r\nX-Answer-Proof: p\r\nContent-Length: 4\r\n\r\nbody"}; });
+    for (const char *brokenOff : {"HTTP/1.1 421 Misd", "HTTP/1.1 421 ", "HTTP/1.1 421", "HTTP/1.1 200 O", "HTTP/1.1 503 Service "}) {
+        begin = brokenOff;
+        BOOST_TEST(contains(answerTo(request("at-most-once", "POST", "Content-Length: 0\r\n"), "}"), "HTTP/1.1 502"), brokenOff);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answer_namesAProxyAndItsProtocol_isRelayed)
+{
+    putRoutes();
+    const std::string answer = wholeAnswer(200, "r1", "right");
+    addEndpoint(answerAlways("HTTP/1.1 200 OK\r\nVia: HTTP/1.1 10.0.0.1, HTTP/1.1 proxy, HTTP/1.1 1000\r\n" + answer.substr(answer.find("\r\n") + 2)));
+    BOOST_TEST(contains(answerTo(request("at-most-once", "POST", "Content-Length: 0\r\n"), "right"), "HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(connection_extraBytesAfterAnAnswer_isNotReused)
 {
     putRoutes();
--- a/libs/http/include/http/messageparser.h
+++ b/libs/http/include/http/messageparser.h
@@ -18,6 +18,7 @@
     std::string method; ///< Of a request.
     std::string target; ///< Of a request, in origin form.
     int status = 0; ///< Of an answer.
+    std::string reason; ///< Reason phrase of an answer.
     HeaderList headers;
     bool keepAlive = false; ///< The sender means to use the connection again.
     bool endsWithConnection = false; ///< An answer without a length: it is whole only if the connection ends in order.
--- a/libs/http/src/messageparser.cpp
+++ b/libs/http/src/messageparser.cpp
@@ -82,6 +82,7 @@
         return *static_cast<Impl *>(parser->data);
     }
     static int onUrl(http_parser *parser, const char *at, std::size_t length);
+    static int onReason(http_parser *parser, const char *at, std::size_t length);
     static int onHeaderName(http_parser *parser, const char *at, std::size_t length);
     static int onHeaderValue(http_parser *parser, const char *at, std::size_t length);
     static int onHeadersComplete(http_parser *parser);
@@ -102,6 +103,7 @@
         http_parser_settings filled{};
         http_parser_settings_init(&filled);
         filled.on_url = &Impl::onUrl;
+        filled.on_status = &Impl::onReason;
         filled.on_header_field = &Impl::onHeaderName;
         filled.on_header_value = &Impl::onHeaderValue;
         filled.on_headers_complete = &Impl::onHeadersComplete;
@@ -118,6 +120,12 @@
     return 0;
 }
 
+int MessageParser::Impl::onReason(http_parser *parser, const char *at, std::size_t length)
+{
+    of(parser).head_.reason.append(at, length);
+    return 0;
+}
+
 int MessageParser::Impl::onHeaderName(http_parser *parser, const char *at, std::size_t length)
 {
     Impl &self = of(parser);
