group: engines that report different sizes of a group in one epoch no longer end agents

An engine that reports rank 7 of a group of 8 in the epoch of a group of 3 resized the coordinator's ranks, but not what it keeps beside them, since that followed the epoch alone: the new test of the group task ended in std::out_of_range (7 of 3), which nothing catches. Both follow the group's epoch and size now, in one function; a rank that the group does not have counts as unresponsive, and its experts are ignored.

Counts of another number of experts than the group has are ignored, and nothing is planned from them. By reading, a plan from them indexed beyond its lists; the test of it passed before too, so that was not shown.

--- a/libs/group/include/group/directaccesspolicy.h
+++ b/libs/group/include/group/directaccesspolicy.h
@@ -41,6 +41,12 @@
         engineQueriedAt_.assign(ranks, BootTime());
     }
 
+    /** @return the number of ranks. */
+    std::size_t size() const
+    {
+        return agentReportedAt_.size();
+    }
+
     /** Records a report of the rank's agent under this term. */
     void onAgentReport(std::uint32_t rank, BootTime now)
     {
@@ -53,9 +59,10 @@
         engineQueriedAt_.at(rank) = queriedAt;
     }
 
+    /** A rank that the group does not have counts as unresponsive. */
     bool isUnresponsive(std::uint32_t rank, BootTime now) const
     {
-        return now - agentReportedAt_.at(rank) > options_.reportTimeout;
+        return rank >= agentReportedAt_.size() || now - agentReportedAt_[rank] > options_.reportTimeout;
     }
 
     /** Whether all agents but one follow this term, so that no other coordinator can be active. */
--- a/libs/group/include/group/expertdemand.h
+++ b/libs/group/include/group/expertdemand.h
@@ -42,6 +42,11 @@
     /** @param counts choices since the previous report of the rank, set by set. */
     void addCounts(std::span<const std::uint64_t> counts, BootTime now);
 
+    /** @return the number of counts, over all sets. */
+    std::size_t size() const
+    {
+        return steady_.counts.size();
+    }
     bool isEmpty() const
     {
         return steady_.counts.empty();
--- a/libs/group/src/coordinator.cpp
+++ b/libs/group/src/coordinator.cpp
@@ -172,13 +172,7 @@
     if (report.rank == ownRank_) {
         policy_.recordStep(report.step, report.running > 0, now);
     }
-    if (switch_.epoch() != epoch_) {
-        log()->info("New epoch group={} epoch={} size={}", report.group, switch_.epoch(), switch_.size());
-        epoch_ = switch_.epoch();
-        assembler_.clear();
-        accessPolicy_.reset(switch_.size());
-        prover_.reset();
-    }
+    followGroup();
     if (report.epoch == epoch_ && report.rank < switch_.size()) {
         accessPolicy_.onAgentReport(report.rank, now);
         prover_.recordSwitch(report.rank, toSwitchRecord(report));
@@ -194,10 +188,23 @@
     update();
 }
 
+/** Discards what is known of the ranks if the group has formed again. Engines may report another size in the same epoch. */
+void Coordinator::followGroup()
+{
+    if (switch_.epoch() == epoch_ && switch_.size() == accessPolicy_.size()) {
+        return;
+    }
+    log()->info("New epoch group={} epoch={} size={}", group_, switch_.epoch(), switch_.size());
+    epoch_ = switch_.epoch();
+    assembler_.clear();
+    accessPolicy_.reset(switch_.size());
+    prover_.reset();
+}
+
 void Coordinator::setHeldExperts(std::uint32_t rank, std::uint64_t version, ExpertsBySet experts)
 {
-    if (!assembler_.setRank(rank, version, std::move(experts))) {
-        log()->warn("Experts of a rank ignored, since some do not exist rank={} version={}", rank, version);
+    if (rank >= switch_.size() || !assembler_.setRank(rank, version, std::move(experts))) {
+        log()->warn("Experts of a rank ignored, since the rank or some of them do not exist rank={} version={}", rank, version);
     }
 }
 
@@ -211,6 +218,10 @@
         log()->warn("Cannot decode expert counts rank={} cause={}", report.rank, counts.error().detail);
         return;
     }
+    if (currentMap_ && counts->size() != currentMap_->size() * options_.expertsPerSet) {
+        log()->warn("Expert counts of another number ignored rank={} counts={}", report.rank, counts->size());
+        return;
+    }
     demand_.addCounts(*counts, BootClock::now());
 }
 
@@ -276,6 +287,7 @@
         queryHeldExperts(id, state.rank);
     }
     switch_.onRankReport(state, now);
+    followGroup();
 }
 
 void Coordinator::queryHeldExperts(const std::string &id, std::uint32_t rank)
@@ -525,7 +537,7 @@
     }
     plannedAt_ = now;
     reviewedAt_ = now;
-    if (demand_.isEmpty()) {
+    if (demand_.isEmpty() || demand_.size() != current->size() * options_.expertsPerSet) {
         return PlanObstacle::NoDemand;
     }
     const auto demand = demand_.shares(current->size());
--- a/libs/group/src/coordinator.h
+++ b/libs/group/src/coordinator.h
@@ -101,6 +101,7 @@
     void handleEngineState(const std::string &id, const RankState &state, BootTime queriedAt);
     void queryHeldExperts(const std::string &id, std::uint32_t rank);
     bool isSwitchInProgress() const;
+    void followGroup();
     void setHeldExperts(std::uint32_t rank, std::uint64_t version, ExpertsBySet experts);
     void addDemand(const wire::RankReport &report);
     std::optional<PlanObstacle> planSwitch(BootTime now);
--- a/libs/group/tests/directaccesspolicytest.cpp
+++ b/libs/group/tests/directaccesspolicytest.cpp
@@ -63,6 +63,13 @@
     BOOST_TEST(!policy.mayContactEngines(Start + 500ms));
 }
 
+// Guards against an exception, which ends the process, for a rank that was known before the group formed again with fewer ranks.
+BOOST_AUTO_TEST_CASE(rank_theGroupDoesNotHave_isUnresponsive)
+{
+    BOOST_TEST(policy.isUnresponsive(12, Start));
+    BOOST_TEST(policy.size() == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(engine_queriedAfterTheOthersReported_noReleaseUntilTheyReportAgain)
 {
     reportAllExcept(3, Start + 500ms);
--- a/libs/group/tests/grouptasktest.cpp
+++ b/libs/group/tests/grouptasktest.cpp
@@ -37,10 +37,11 @@
     RankState stateOf(std::uint32_t rank) const
     {
         const Engine &engine = ranks_[rank];
+        const bool isOdd = hasOddRank && rank == Ranks - 1;
         return {.group = "g",
                 .epoch = epoch,
-                .rank = rank,
-                .size = reportedSize,
+                .rank = isOdd ? OddRank : rank,
+                .size = isOdd ? OddRank + 1 : reportedSize,
                 .isOpen = true,
                 .step = step_,
                 .mapVersion = engine.map,
@@ -91,6 +92,10 @@
     {
         return ranks_[rank].counts;
     }
+    std::vector<std::uint64_t> reportedCounts(std::uint32_t rank) const
+    {
+        return hasOddCounts && rank == Ranks - 1 ? std::vector<std::uint64_t>{ranks_[rank].counts.front()} : ranks_[rank].counts;
+    }
     const std::vector<std::vector<std::uint16_t>> &experts(std::uint32_t rank) const
     {
         return ranks_[rank].experts;
@@ -108,12 +113,15 @@
     std::uint64_t epoch = 1;
     StatedIncarnation incarnation; ///< Stated with the state, but not with the counts.
     std::uint32_t reportedSize = Ranks;
+    bool hasOddRank = false; ///< The last rank's engine reports a rank and a size that the group does not have.
+    bool hasOddCounts = false; ///< It counts a single expert.
     int lostPrepares = 0; ///< Orders to prepare at rank 1 that get no answer and are not executed.
     std::optional<BootTime> firstLostAt;
     bool formsNewEpochOnOrder = false; ///< Forms a new epoch when an order to prepare arrives, as if a rank restarted at that time.
 
 private:
     static constexpr Duration Pass{20};
+    static constexpr std::uint32_t OddRank = 7;
 
     struct Engine {
         std::uint64_t map = 0;
@@ -166,7 +174,7 @@
     }
     void readCounts(std::function<void(Result<ExpertCounts>)> done) override
     {
-        callLater([this, done] { done(ExpertCounts{.epoch = group_.epoch, .counts = group_.counts(rank_)}); });
+        callLater([this, done] { done(ExpertCounts{.epoch = group_.epoch, .counts = group_.reportedCounts(rank_)}); });
     }
     void readHeldExperts(std::function<void(Result<HeldExperts>)> done) override
     {
@@ -374,6 +382,31 @@
     BOOST_TEST(!group.isSplit());
 }
 
+// Guards against an exception, which ends the process, when engines report different sizes of the group in one epoch.
+BOOST_AUTO_TEST_CASE(engine_reportsARankBeyondItsGroup_agentsContinue)
+{
+    BOOST_REQUIRE(runUntil([this] { return group.map() != 0; }));
+    group.hasOddRank = true;
+    const BootTime end = BootClock::now() + 1s;
+    runUntil([end] { return BootClock::now() >= end; });
+    group.hasOddRank = false;
+    const std::uint64_t map = group.map();
+    group.hot = 4;
+    BOOST_TEST(runUntil([this, map] { return group.map() != map; }));
+    BOOST_TEST(!group.isSplit());
+}
+
+// Guards against a plan that is made from counts of other experts than the group has.
+BOOST_AUTO_TEST_CASE(engine_countsOtherExperts_mapIsStillChanged)
+{
+    BOOST_REQUIRE(runUntil([this] { return group.map() != 0; }));
+    group.hasOddCounts = true;
+    const std::uint64_t map = group.map();
+    group.hot = 4;
+    BOOST_TEST(runUntil([this, map] { return group.map() != map; }));
+    BOOST_TEST(!group.isSplit());
+}
+
 // Guards against several agents replacing a lost coordinator in turn, each undoing the previous one's switch.
 BOOST_AUTO_TEST_CASE(coordinator_exits_onlyTheNextRankReadsTheStore)
 {
