forward: an endpoint that is listed again is logged with what was last known of it

Five hypotheses about the row that brings the endpoint back: an old write performed late; an endpoint that was cut off and reaches the store again; one that started anew under its id; a peer's older list; the list read anew. The log had the row's heartbeat (4) and version, but neither the last heartbeat known (renewals that change nothing are not logged; the last line said 1) nor how long the endpoint had been missing. Change: one line with heartbeat, last heartbeat, incarnations, time missing and version. No decision has changed.

--- a/libs/forward/src/endpointlist.cpp
+++ b/libs/forward/src/endpointlist.cpp
@@ -31,6 +31,19 @@
                 record.heartbeat);
 }
 
+/** @param former what was known of the endpoint when it was last on the list. */
+void logListedAgain(const routing::EndpointRecord &record, const routing::ListedRuns::FormerRun &former, BootTime now)
+{
+    log()->info("Endpoint listed again id={} missing_ms={} heartbeat={} last_heartbeat={} incarnation={} last_incarnation={} listed_at={}",
+                record.id,
+                std::chrono::duration_cast<Duration>(now - former.unlistedAt).count(),
+                record.heartbeat,
+                former.heartbeat,
+                record.incarnation.startedAtMs().value_or(0),
+                former.incarnation.startedAtMs().value_or(0),
+                record.listedAt);
+}
+
 } // namespace
 
 EndpointList::EndpointList(event_base *loop, ForwardTask &task, routing::EndpointRoster::Options options)
@@ -117,6 +130,9 @@
     const BootTime now = BootClock::now();
     isSnapshotStale_ = true; // The version may have changed although no entry has.
     for (const routing::EndpointRecord &record : records) {
+        if (const auto former = runs_.formerRun(record.id)) {
+            logListedAgain(record, *former, now);
+        }
         const auto current = runs_.apply(record, now);
         if (!current || current->isLeaving != record.isLeaving) {
             logOutdated(record, current.has_value());
@@ -138,7 +154,7 @@
 /** Also logs for how long the endpoint still receives requests. */
 void EndpointList::onUnlisted(const routing::PendingRemoval &absence, BootTime now)
 {
-    runs_.onUnlisted(absence.id);
+    runs_.onUnlisted(absence.id, now);
     const auto kept = std::chrono::duration_cast<Duration>(absence.removeAt - now);
     log()->info("Endpoint no longer listed id={} kept_ms={}", absence.id, kept.count());
 }
--- a/libs/routing/include/routing/listedruns.h
+++ b/libs/routing/include/routing/listedruns.h
@@ -5,6 +5,7 @@
 #include "base/statedincarnation.h"
 #include "routing/endpointtable.h"
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -39,11 +40,21 @@
 
     explicit ListedRuns(Options options) : options_(options) {}
 
+    /** What was last known of an endpoint that is missing from the list. */
+    struct FormerRun {
+        StatedIncarnation incarnation;
+        std::uint64_t heartbeat = 0; ///< Highest one known; 0: unknown.
+        BootTime unlistedAt;
+    };
+
+    /** @return nothing if the endpoint is listed, or is not known to have been. */
+    std::optional<FormerRun> formerRun(std::string_view id) const;
+
     /** @return the entry as it is in force, leaving if its run is known to leave; nothing if it is of an earlier run than the known one. */
     std::optional<EndpointRecord> apply(const EndpointRecord &record, BootTime now);
 
     /** The endpoint is missing from the list. */
-    void onUnlisted(std::string_view id);
+    void onUnlisted(std::string_view id, BootTime now);
 
     /** @param asOf the list was confirmed as of then. @return the entries that were taken for outdated and are in force from now on. */
     std::vector<EndpointRecord> takeConfirmed(BootTime asOf);
@@ -60,7 +71,9 @@
         std::string service;
         std::string address;
         bool isLeaving = false;
+        std::uint64_t heartbeat = 0; ///< Highest one known; 0: unknown.
         bool isListed = true;
+        BootTime unlistedAt; ///< When it was last found missing from the list.
         std::optional<UnconfirmedEntry> unconfirmed;
     };
 
--- a/libs/routing/src/listedruns.cpp
+++ b/libs/routing/src/listedruns.cpp
@@ -1,5 +1,6 @@
 #include "routing/listedruns.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace magnolia::routing
@@ -22,6 +23,16 @@
     return known.incarnation.isEarlierThan(record.incarnation) || known.service != record.service || known.address != record.address;
 }
 
+std::optional<ListedRuns::FormerRun> ListedRuns::formerRun(std::string_view id) const
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end() || found->second.isListed) {
+        return std::nullopt;
+    }
+    const Run &run = found->second;
+    return FormerRun{.incarnation = run.incarnation, .heartbeat = run.heartbeat, .unlistedAt = run.unlistedAt};
+}
+
 std::optional<EndpointRecord> ListedRuns::apply(const EndpointRecord &record, BootTime now)
 {
     const auto found = runs_.find(record.id);
@@ -34,12 +45,15 @@
                                    .service = record.service,
                                    .address = record.address,
                                    .isLeaving = record.isLeaving,
+                                   .heartbeat = record.heartbeat,
                                    .isListed = true,
+                                   .unlistedAt = {},
                                    .unconfirmed = {}});
         return record;
     }
     Run &known = found->second;
     known.isListed = true;
+    known.heartbeat = std::max(known.heartbeat, record.heartbeat);
     return judgeReadiness(record, known, now);
 }
 
@@ -63,12 +77,13 @@
     return record;
 }
 
-void ListedRuns::onUnlisted(std::string_view id)
+void ListedRuns::onUnlisted(std::string_view id, BootTime now)
 {
     const auto found = runs_.find(id);
     if (found == runs_.end() || !std::exchange(found->second.isListed, false)) {
         return;
     }
+    found->second.unlistedAt = now;
     found->second.unconfirmed.reset();
     formerIds_.push_back(found->first);
     if (formerIds_.size() <= MaxFormerRuns) {
--- a/libs/routing/tests/listedrunstest.cpp
+++ b/libs/routing/tests/listedrunstest.cpp
@@ -57,7 +57,7 @@
     for (const StatedIncarnation &run : {FirstRun, StatedIncarnation()}) {
         runs = ListedRuns({.renewalInterval = 1200ms});
         (void)runs.apply(leaving(run), Start);
-        runs.onUnlisted("a");
+        runs.onUnlisted("a", Start);
         BOOST_TEST(isLeavingAfter(ready(run)));
     }
 }
@@ -68,7 +68,7 @@
     (void)runs.apply(leaving(FirstRun), Start);
     BOOST_TEST(!isLeavingAfter(ready(SecondRun)));
     BOOST_TEST(!isLeavingAfter(ready(SecondRun)));
-    runs.onUnlisted("a");
+    runs.onUnlisted("a", Start);
     BOOST_TEST(!isLeavingAfter(ready(SecondRun)));
 }
 
@@ -85,7 +85,7 @@
 {
     (void)runs.apply(ready(SecondRun), Start);
     BOOST_TEST(!runs.apply(ready(FirstRun), Start).has_value());
-    runs.onUnlisted("a");
+    runs.onUnlisted("a", Start);
     BOOST_TEST(!runs.apply(ready(FirstRun), Start).has_value());
 }
 
@@ -110,7 +110,7 @@
     (void)runs.apply(leaving(), Start + 2s);
     BOOST_TEST(runs.takeConfirmed(Start + 1h).empty());
     (void)runs.apply(ready(), Start + 3s);
-    runs.onUnlisted("a");
+    runs.onUnlisted("a", Start);
     BOOST_TEST(runs.takeConfirmed(Start + 1h).empty());
 }
 
@@ -118,7 +118,7 @@
 BOOST_AUTO_TEST_CASE(readyEndpoint_returnsToTheList_isInForceAtOnce)
 {
     (void)runs.apply(ready(FirstRun), Start);
-    runs.onUnlisted("a");
+    runs.onUnlisted("a", Start);
     BOOST_TEST(!isLeavingAfter(ready(FirstRun)));
 }
 
@@ -126,12 +126,12 @@
 BOOST_AUTO_TEST_CASE(formerEndpoints_many_oldestIsForgotten)
 {
     (void)runs.apply(leaving(FirstRun), Start);
-    runs.onUnlisted("a");
+    runs.onUnlisted("a", Start);
     for (int i = 0; i < 4000; ++i) {
         EndpointRecord other = ready();
         other.id = std::to_string(i);
         (void)runs.apply(other, Start);
-        runs.onUnlisted(other.id);
+        runs.onUnlisted(other.id, Start);
     }
     BOOST_TEST(!isLeavingAfter(ready(FirstRun)));
 }
