forward: an endpoint that is listed again after it was gone gets no requests until it has shown that it runs

Callers saw: an endpoint that had left without a word, and whose removal the store had acknowledged, was sent a third of all requests again, 2.6 to 6.2 s after that (DRAIN: 2 s). Cause: ListedRuns remembered of an endpoint that is missing from the list only whether it had said that it leaves. Its rows are written without a condition, so one without an answer may be performed seconds after the removal, and a row of a known run was taken for news. Change: what is gone and listed again under the same run is unproven: kept out of the table (a late row must not mark the owner of its address as replaced either), passed on to peers as such. It is in use once it states by its health check that it is healthy, under its own id, or once its row has outlived the time in which rows that nobody renews expire. A row written before a known one shows nothing, so nobody is asked. A later run (start, service, address) is used at once, and so is what was only retained after an outage of the store. All entries learn of a return at once, so they spread their questions by one millisecond for each entry. A removal and a late row within one answer of the store are taken apart if the row's heartbeat tells; a row that lapsed and was renewed stays in use. Related: the list read anew, lists of peers, an entry that starts after the removal and hears of it from peers: same decision, tests. Ruled out: waiting for the row to outlive its expiry alone (4.8 s for an endpoint that returns); a second renewal (not visible).

--- a/libs/forward/include/forward/endpointlist.h
+++ b/libs/forward/include/forward/endpointlist.h
@@ -8,6 +8,7 @@
 #include "routing/listedruns.h"
 
 #include <cstdint>
+#include <memory>
 #include <span>
 #include <string>
 #include <string_view>
@@ -17,12 +18,15 @@
 namespace magnolia::forward
 {
 
+class ReturnCheck;
+
 /**
  * Keeps the task's endpoints in step with the platform's list, or with a peer's copy of it while the store is unreachable.
  *
  * Without the peers, an entry that alone can't reach the store would keep dispatching to endpoints that have left, until
- * long after the store is reachable again. Lists older than the known version are ignored, and so are entries that were written late, see ListedRuns. Lives on
- * one event loop, all calls on its thread; the task outlives it.
+ * long after the store is reachable again. Lists older than the known version are ignored, and so are entries that were written late, see ListedRuns. An
+ * endpoint that is listed again after it was gone is used once it has shown that it runs. Lives on one event loop, all calls on its thread; the task outlives
+ * it.
  *
  * @code
  * EndpointList list(loop, *task, {.renewalInterval = Duration(1200)});
@@ -34,12 +38,20 @@
 {
 public:
     EndpointList(event_base *loop, ForwardTask &task, routing::EndpointRoster::Options options);
+    ~EndpointList();
+    EndpointList(const EndpointList &) = delete;
+    EndpointList &operator=(const EndpointList &) = delete;
 
     /** Applies the complete list: endpoints that are not in it have left. */
     void applySnapshot(const routing::EndpointSnapshot &listing);
 
-    /** @param gone ids whose rows were removed or no longer describe an endpoint. */
-    void applyDelta(const routing::EndpointSnapshot &changed, std::span<const std::string> gone);
+    struct Delta {
+        routing::EndpointSnapshot changed;
+        std::span<const std::string> gone{}; ///< Ids whose rows were removed or no longer describe an endpoint.
+        std::span<const std::string> relisted{}; ///< Ids whose rows were removed before their change.
+    };
+
+    void applyDelta(const Delta &delta);
 
     /** Applies the complete list as encoded by a peer. An unreadable document is logged and changes nothing. */
     void applyPeerSnapshot(std::string_view document);
@@ -66,12 +78,19 @@
     bool acceptVersion(std::uint64_t version);
     void putRecords(std::span<const routing::EndpointRecord> records);
     void putRecord(const routing::EndpointRecord &record);
+    void holdBack(const routing::EndpointRecord &record);
+    void onShownToRun(const std::string &id);
+    void removeOutdated(const Delta &delta);
+    void unlist(std::span<const std::string> ids);
     void onUnlisted(const routing::PendingRemoval &absence, BootTime now);
     void removeExpired();
 
+    event_base *loop_;
     ForwardTask &task_;
+    Duration renewalInterval_;
     routing::EndpointRoster roster_;
     routing::ListedRuns runs_;
+    routing::TextMap<std::unique_ptr<ReturnCheck>> returnChecks_; ///< By endpoint id, while it is unproven.
     http::Timer removalTimer_;
     std::uint64_t version_ = 0;
     BootTime confirmedAt_;
--- a/libs/forward/include/forward/forwardtask.h
+++ b/libs/forward/include/forward/forwardtask.h
@@ -88,6 +88,13 @@
     virtual void putEndpoint(const routing::EndpointRecord &record) = 0;
     virtual void removeEndpoint(std::string_view id) = 0;
 
+    /**
+     * Asks an endpoint, which need not be in use, whether it is healthy.
+     *
+     * @param done called once, never from within this call, with false if it didn't answer in time or its service has no health check.
+     */
+    virtual void askHealth(const routing::EndpointRecord &endpoint, std::function<void(bool isHealthy)> done) = 0;
+
     /** Replaces the evacuations in force. Requests in progress in an evacuated data centre are not cut off. */
     virtual void putEvacuations(const routing::Evacuations &evacuations) = 0;
     /** The first full list of endpoints was put: those that are put from now on have started during operation. */
--- a/libs/forward/include/forward/protocol.h
+++ b/libs/forward/include/forward/protocol.h
@@ -36,6 +36,7 @@
     std::string coldTime = "X-Cold-Ms"; ///< In an endpoint's answer: how much longer it is cold, in milliseconds.
     std::string leaving = "X-Leaving"; ///< In an endpoint's answer, with the value "1": the endpoint is about to end and accepts no more requests.
     std::string endpointAtFault = "X-At-Fault"; ///< In an answer that refuses the request: the endpoint that caused the refusal.
+    std::string endpointId = "X-Endpoint-Id"; ///< In an endpoint's answer to a health check: its own id.
     std::string priority = "X-Priority";
     std::string lastEventId = "Last-Event-Id";
     std::string generationSize = "X-Tokens";
--- a/libs/forward/src/endpointlist.cpp
+++ b/libs/forward/src/endpointlist.cpp
@@ -1,6 +1,7 @@
 #include "forward/endpointlist.h"
 
 #include "observe/log.h"
+#include "returncheck.h"
 #include "store/storeversion.h"
 
 #include <algorithm>
@@ -47,10 +48,17 @@
 } // namespace
 
 EndpointList::EndpointList(event_base *loop, ForwardTask &task, routing::EndpointRoster::Options options)
-    : task_(task), roster_(options), runs_({.renewalInterval = options.renewalInterval}), removalTimer_(loop, [this] { removeExpired(); })
+    : loop_(loop)
+    , task_(task)
+    , renewalInterval_(options.renewalInterval)
+    , roster_(options)
+    , runs_({.renewalInterval = options.renewalInterval})
+    , removalTimer_(loop, [this] { removeExpired(); })
 {
 }
 
+EndpointList::~EndpointList() = default;
+
 /**
  * Checks and adopts a list's version. A late answer of the store may be older than what a peer has sent since, and would
  * bring back endpoints that have left.
@@ -100,14 +108,32 @@
     removeExpired();
 }
 
-void EndpointList::applyDelta(const routing::EndpointSnapshot &changed, std::span<const std::string> gone)
+void EndpointList::applyDelta(const Delta &delta)
 {
-    if (!acceptVersion(changed.version)) {
+    if (!acceptVersion(delta.changed.version)) {
         return;
     }
-    putRecords(changed.endpoints); // Before the removals: an endpoint that is leaving and removed in the same delta must not be kept as one that accepts work.
+    removeOutdated(delta);
+    // Before the removals: an endpoint that is leaving and removed in the same delta must not be kept as one that accepts work.
+    putRecords(delta.changed.endpoints);
+    unlist(delta.gone);
+}
+
+/** An endpoint whose entry lapsed and was renewed within one answer stays in use, unless the entry was written before a known one. */
+void EndpointList::removeOutdated(const Delta &delta)
+{
+    for (const routing::EndpointRecord &record : delta.changed.endpoints) {
+        const auto relisted = std::find(delta.relisted.begin(), delta.relisted.end(), record.id);
+        if (relisted != delta.relisted.end() && runs_.isOutdated(record)) {
+            unlist(std::span(&*relisted, 1));
+        }
+    }
+}
+
+void EndpointList::unlist(std::span<const std::string> ids)
+{
     const BootTime now = BootClock::now();
-    for (const std::string &id : gone) {
+    for (const std::string &id : ids) {
         if (const auto absence = roster_.onEntryRemoved(id, now)) {
             onUnlisted(*absence, now);
         }
@@ -137,14 +163,51 @@
         if (!current || current->isLeaving != record.isLeaving) {
             logOutdated(record, current.has_value());
         }
-        if (current) {
+        if (!current) {
+            continue;
+        }
+        if (current->isUnproven) {
+            holdBack(*current);
+        } else {
             putRecord(*current);
         }
     }
 }
 
+/** The endpoint stays in the roster, and so in the list for peers, but the task doesn't get to know it. */
+void EndpointList::holdBack(const routing::EndpointRecord &record)
+{
+    roster_.put(record);
+    task_.removeEndpoint(record.id);
+    const auto found = returnChecks_.find(record.id);
+    if (found != returnChecks_.end() && found->second->endpoint().listedAt == record.listedAt) {
+        return;
+    }
+    const bool mayRun = runs_.mayRun(record.id);
+    log()->info("Endpoint unproven, not used id={} address={} listed_at={} heartbeat={} asked={}",
+                record.id,
+                record.address,
+                record.listedAt,
+                record.heartbeat,
+                mayRun);
+    returnChecks_.erase(record.id);
+    if (mayRun) {
+        ReturnCheck::Options options{.loop = loop_, .task = task_, .endpoint = record, .interval = renewalInterval_};
+        returnChecks_.emplace(record.id, std::make_unique<ReturnCheck>(std::move(options), [this, id = record.id] { onShownToRun(id); }));
+    }
+}
+
+void EndpointList::onShownToRun(const std::string &id)
+{
+    if (const auto record = runs_.onShownToRun(id)) {
+        log()->info("Endpoint has returned, using it again id={} listed_at={}", record->id, record->listedAt);
+        putRecord(*record);
+    }
+}
+
 void EndpointList::putRecord(const routing::EndpointRecord &record)
 {
+    returnChecks_.erase(record.id);
     roster_.put(record);
     coldUntil_ = std::max(coldUntil_, record.coldUntil);
     task_.putEndpoint(record);
@@ -164,7 +227,7 @@
     confirmedAt_ = std::max(confirmedAt_, asOf);
     roster_.onListConfirmed(asOf, BootClock::now());
     for (const routing::EndpointRecord &record : runs_.takeConfirmed(asOf)) {
-        log()->info("Leaving endpoint stays listed as ready, using it again id={} listed_at={}", record.id, record.listedAt);
+        log()->info("Endpoint stays listed as ready, using it again id={} listed_at={}", record.id, record.listedAt);
         putRecord(record);
     }
     removeExpired();
@@ -186,6 +249,8 @@
     const BootTime now = BootClock::now();
     for (const std::string &id : roster_.takeDueRemovals(now)) {
         isSnapshotStale_ = true;
+        runs_.onGone(id);
+        returnChecks_.erase(id);
         task_.removeEndpoint(id);
     }
     // An endpoint that is overdue but was not removed stays until the list is next updated or confirmed.
--- a/libs/forward/src/forwardcontext.h
+++ b/libs/forward/src/forwardcontext.h
@@ -9,6 +9,7 @@
 #include "endpointconnectionpool.h"
 #include "forward/forwardtask.h"
 #include "forwardmetrics.h"
+#include "healthcheck.h"
 #include "http/timer.h"
 #include "livenessmonitor.h"
 #include "requestlog.h"
@@ -54,6 +55,7 @@
                       .random = random})
         , crashTracker(eventLoop, connections, options.quarantine, metrics, [this] { scheduleNotification(); })
         , livenessMonitor({.loop = eventLoop, .endpoints = endpoints, .statements = statements, .metrics = metrics, .path = options.protocol.livenessPath})
+        , healthCheck({.loop = eventLoop, .protocol = options.protocol, .metrics = metrics})
         , notifyTimer(eventLoop, [this] { notifyWaiters(); })
     {
     }
@@ -180,6 +182,7 @@
     StatementReader statements;
     CrashTracker crashTracker;
     LivenessMonitor livenessMonitor;
+    HealthCheck healthCheck;
     bool isStopping = false;
     BootTime acceptsUntil; ///< While stopping: every new request is accepted until then.
     BootTime exitsAt; ///< While stopping: the process exits then at the latest.
--- a/libs/forward/src/forwardmetrics.h
+++ b/libs/forward/src/forwardmetrics.h
@@ -43,6 +43,7 @@
         , coldEndpoints(metrics.gauge("magnolia_forward_cold_endpoints", "Endpoints known to be cold."))
         , sentToCold(metrics.counter("magnolia_forward_sent_to_cold_total", "Requests sent to cold endpoints."))
         , withheldFromCold(metrics.counter("magnolia_forward_withheld_from_cold_total", "Times that a request found only cold endpoints without a turn."))
+        , healthChecks(metrics.counter("magnolia_forward_health_checks_total", "Endpoints that were listed again asked for their health, each time."))
         , livenessChecks(metrics.counter("magnolia_forward_liveness_checks_total", "Silent endpoints asked for a sign of life, each time."))
         , silentEndpoints(metrics.gauge("magnolia_forward_silent_endpoints", "Endpoints that gave no sign of life when last asked."))
         , callers(metrics.gauge("magnolia_forward_caller_connections", "Open connections of callers."))
@@ -85,6 +86,7 @@
     observe::Gauge &coldEndpoints;
     observe::Counter &sentToCold;
     observe::Counter &withheldFromCold;
+    observe::Counter &healthChecks;
     observe::Counter &livenessChecks;
     observe::Gauge &silentEndpoints;
     observe::Gauge &callers;
--- a/libs/forward/src/forwardtask.cpp
+++ b/libs/forward/src/forwardtask.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <random>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -70,6 +71,9 @@
     }
 }
 
+// All entries learn at the same moment that an endpoint is listed again, and a new connection to it takes about a millisecond.
+constexpr Duration HealthCheckSpacing{1};
+
 class ForwardTaskImpl final : public ForwardTask
 {
 public:
@@ -100,6 +104,7 @@
     }
     void putEndpoint(const routing::EndpointRecord &record) override;
     void removeEndpoint(std::string_view id) override;
+    void askHealth(const routing::EndpointRecord &endpoint, std::function<void(bool isHealthy)> done) override;
     void putEvacuations(const routing::Evacuations &evacuations) override;
     void onFirstListComplete() override
     {
@@ -268,6 +273,18 @@
     context_.connections.closeAll(id);
 }
 
+void ForwardTaskImpl::askHealth(const routing::EndpointRecord &endpoint, std::function<void(bool isHealthy)> done)
+{
+    const routing::Service *service = context_.routes != nullptr ? context_.routes->service(endpoint.service) : nullptr;
+    const Duration longestDelay = HealthCheckSpacing * static_cast<Duration::rep>(context_.endpoints.instances());
+    std::uniform_int_distribution<Duration::rep> delay(0, longestDelay.count());
+    context_.healthCheck.ask({.id = endpoint.id,
+                              .address = endpoint.address,
+                              .path = service != nullptr ? service->healthPath : std::string(),
+                              .delay = Duration(delay(context_.random))},
+                             std::move(done));
+}
+
 void ForwardTaskImpl::putEvacuations(const routing::Evacuations &evacuations)
 {
     const routing::Evacuations before = context_.endpoints.evacuations();
--- a/libs/forward/tests/recordingtask.h
+++ b/libs/forward/tests/recordingtask.h
@@ -4,6 +4,7 @@
 #include "forward/forwardtask.h"
 
 #include <algorithm>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -38,6 +39,11 @@
     {
         updates.push_back("gone " + std::string(id));
     }
+    void askHealth(const routing::EndpointRecord &endpoint, std::function<void(bool isHealthy)> done) override
+    {
+        updates.push_back("health of " + endpoint.id);
+        healthQuestions.push_back(std::move(done));
+    }
     void putEvacuations(const routing::Evacuations &evacuations) override
     {
         std::string names;
@@ -77,6 +83,7 @@
 
     std::vector<std::string> updates;
     routing::Evacuations evacuated; ///< The last ones received.
+    std::vector<std::function<void(bool isHealthy)>> healthQuestions; ///< Unanswered, in order.
     int confirmations = 0;
     int firstLists = 0;
     CrashReportPublisher crashSharing;
--- a/libs/routing/include/routing/endpointtable.h
+++ b/libs/routing/include/routing/endpointtable.h
@@ -37,6 +37,7 @@
     std::uint64_t listedAt = 0; ///< Version of the list at the entry's last change; 0: unknown.
     std::uint64_t heartbeat = 0; ///< Number of the heartbeat that wrote the entry, for logs; 0: unknown. Each run counts from the start.
     BootTime coldUntil{}; ///< By its entry; the epoch: not cold.
+    bool isUnproven = false; ///< Listed again after it was gone, and nothing has shown yet that it runs: it must get no requests.
 
     bool operator==(const EndpointRecord &) const = default;
 };
--- a/libs/routing/include/routing/routingconfig.h
+++ b/libs/routing/include/routing/routingconfig.h
@@ -90,6 +90,7 @@
 struct Service {
     std::string name;
     std::uint32_t maxConnections = 0; ///< Maximum connections to one endpoint from all entries together.
+    std::string healthPath{}; ///< On which its endpoints state whether they are healthy; empty: they don't.
     std::optional<StepModel> steps{}; ///< Set for model engines.
     ExpertLayout experts{};
     ColdStart coldStart{};
--- a/libs/routing/src/endpointsnapshot.cpp
+++ b/libs/routing/src/endpointsnapshot.cpp
@@ -35,6 +35,12 @@
     if (record.coldUntil > now) {
         encoded["c"] = std::chrono::ceil<Duration>(record.coldUntil - now).count();
     }
+    if (record.heartbeat > 0) {
+        encoded["h"] = record.heartbeat;
+    }
+    if (record.isUnproven) {
+        encoded["u"] = true;
+    }
     return encoded;
 }
 
@@ -53,8 +59,10 @@
             .slots = record.at("n").get<std::uint32_t>(),
             .isLeaving = record.at("l").get<bool>(),
             .incarnation = decodeIncarnation(record.at("b").get<std::uint64_t>()),
-            .listedAt = record.value("w", std::uint64_t{0}), // Absent in snapshots from peers of an earlier version.
-            .coldUntil = decodeColdUntil(record.value("c", Duration::rep{0}), now)};
+            .listedAt = record.value("w", std::uint64_t{0}), // Absent in snapshots from peers of an earlier version, like the heartbeat.
+            .heartbeat = record.value("h", std::uint64_t{0}),
+            .coldUntil = decodeColdUntil(record.value("c", Duration::rep{0}), now),
+            .isUnproven = record.value("u", false)};
 }
 
 } // namespace
--- a/libs/routing/src/listedruns.cpp
+++ b/libs/routing/src/listedruns.cpp
@@ -40,20 +40,26 @@
         return std::nullopt;
     }
     if (found == runs_.end() || isLaterRun(record, found->second)) {
-        runs_.insert_or_assign(record.id,
-                               Run{.incarnation = record.incarnation,
-                                   .service = record.service,
-                                   .address = record.address,
-                                   .isLeaving = record.isLeaving,
-                                   .heartbeat = record.heartbeat,
-                                   .isListed = true,
-                                   .unlistedAt = {},
-                                   .unconfirmed = {}});
+        Run run{.incarnation = record.incarnation,
+                .service = record.service,
+                .address = record.address,
+                .isLeaving = record.isLeaving,
+                .heartbeat = record.isUnproven ? 0 : record.heartbeat,
+                .listedAt = record.listedAt,
+                .isGone = record.isUnproven,
+                .unlistedAt = {},
+                .unconfirmed = {}};
+        if (record.isUnproven) {
+            hold(record, run, now);
+        }
+        runs_.insert_or_assign(record.id, std::move(run));
         return record;
     }
     Run &known = found->second;
     known.isListed = true;
-    known.heartbeat = std::max(known.heartbeat, record.heartbeat);
+    // A peer has seen a removal that this entry has missed.
+    known.isGone = known.isGone || (record.isUnproven && record.listedAt > known.listedAt);
+    known.listedAt = std::max(known.listedAt, record.listedAt);
     return judgeReadiness(record, known, now);
 }
 
@@ -61,22 +67,71 @@
 {
     const bool isSameRun = known.incarnation.isKnown() && record.incarnation.isKnown();
     known.incarnation = StatedIncarnation::laterOf(known.incarnation, record.incarnation);
+    record.isUnproven = false;
     if (record.isLeaving) {
         known.isLeaving = true;
         known.unconfirmed.reset();
         return record;
     }
-    if (!known.isLeaving) {
+    if (!known.isLeaving && !known.isGone) {
+        known.heartbeat = std::max(known.heartbeat, record.heartbeat);
         return record;
     }
-    if (!isSameRun) {
-        const BootTime since = known.unconfirmed ? known.unconfirmed->since : now;
-        known.unconfirmed = UnconfirmedEntry{.record = record, .since = since};
+    if (!known.isLeaving || !isSameRun) {
+        hold(record, known, now);
     }
-    record.isLeaving = true;
+    (known.isLeaving ? record.isLeaving : record.isUnproven) = true;
     return record;
 }
 
+/** Entries that differ in their version are different ones: each expires by itself. */
+void ListedRuns::hold(const EndpointRecord &record, Run &known, BootTime now)
+{
+    const bool isSameEntry = known.unconfirmed && known.unconfirmed->record.listedAt == record.listedAt;
+    known.unconfirmed = UnconfirmedEntry{.record = record, .since = isSameEntry ? known.unconfirmed->since : now};
+}
+
+EndpointRecord ListedRuns::release(Run &run)
+{
+    EndpointRecord record = std::move(run.unconfirmed->record);
+    run.unconfirmed.reset();
+    run.isLeaving = false;
+    run.isGone = false;
+    run.heartbeat = std::max(run.heartbeat, record.heartbeat);
+    record.isUnproven = false;
+    return record;
+}
+
+void ListedRuns::onGone(std::string_view id)
+{
+    if (const auto found = runs_.find(id); found != runs_.end() && !found->second.isListed) {
+        found->second.isGone = true;
+    }
+}
+
+bool ListedRuns::isOutdated(const EndpointRecord &record) const
+{
+    const auto found = runs_.find(record.id);
+    if (found == runs_.end() || isLaterRun(record, found->second)) {
+        return false;
+    }
+    return record.incarnation.isEarlierThan(found->second.incarnation) || (record.heartbeat > 0 && record.heartbeat <= found->second.heartbeat);
+}
+
+bool ListedRuns::mayRun(std::string_view id) const
+{
+    const auto found = runs_.find(id);
+    const bool isUnproven = found != runs_.end() && found->second.unconfirmed && !found->second.isLeaving;
+    return isUnproven && !isOutdated(found->second.unconfirmed->record);
+}
+
+std::optional<EndpointRecord> ListedRuns::onShownToRun(std::string_view id)
+{
+    const auto found = runs_.find(id);
+    const bool isUnproven = found != runs_.end() && found->second.isListed && found->second.unconfirmed && !found->second.isLeaving;
+    return isUnproven ? std::optional(release(found->second)) : std::nullopt;
+}
+
 void ListedRuns::onUnlisted(std::string_view id, BootTime now)
 {
     const auto found = runs_.find(id);
@@ -101,9 +156,7 @@
     std::vector<EndpointRecord> confirmed;
     for (auto &[id, run] : runs_) {
         if (run.unconfirmed && run.unconfirmed->since + ConfirmedAfterRenewals * options_.renewalInterval <= asOf) {
-            run.isLeaving = false;
-            confirmed.push_back(std::move(run.unconfirmed->record));
-            run.unconfirmed.reset();
+            confirmed.push_back(release(run));
         }
     }
     return confirmed;
