forward: an answer whose status is none is no answer

Reported by another operator: an engine in trouble sent an answer with the status 000, and the client got it as an answer. Change: MessageParser reads an answer only if its first line has the form of a status line, with a status from 100 to 599; it is the one place for all readers of answers. EndpointAttempt ends on 101, as on other bytes that are no answer: repeated where that is allowed, else 502.

--- a/libs/forward/src/endpointattempt.cpp
+++ b/libs/forward/src/endpointattempt.cpp
@@ -1,5 +1,7 @@
 #include "endpointattempt.h"
 
+#include "http/statuscode.h"
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -10,7 +12,7 @@
 namespace
 {
 
-constexpr int FirstFinalStatus = 200;
+constexpr int SwitchingProtocols = 101;
 constexpr int FirstRedirectStatus = 300;
 
 // Keep-alive time of an endpoint that does not state one.
@@ -205,7 +207,11 @@
 bool EndpointAttempt::handleHead()
 {
     http::MessageHead &head = parser_.head();
-    if (head.status < FirstFinalStatus) {
+    if (head.status == SwitchingProtocols) {
+        finish(AttemptEnd::Invalid); // No request asks for another protocol, and what follows is none of HTTP.
+        return false;
+    }
+    if (!http::isFinalStatus(head.status)) {
         isSkipping_ = true;
         return true;
     }
--- a/libs/http/src/messageparser.cpp
+++ b/libs/http/src/messageparser.cpp
@@ -1,5 +1,7 @@
 #include "http/messageparser.h"
 
+#include "http/statuscode.h"
+
 #include <http_parser.h>
 
 #include <algorithm>
@@ -46,6 +48,16 @@
     head.target = std::move(rest);
 }
 
+/** Whether the text begins with the status line of an answer (RFC 9112, 4): the library takes a status with any number of digits. */
+bool beginsWithStatusLine(std::string_view text)
+{
+    constexpr std::string_view Form = "HTTP/0.0 000 "; // 0 stands for any digit.
+    const auto isLike = [](char wanted, char character) { return wanted == '0' ? character >= '0' && character <= '9' : character == wanted; };
+    const auto [wanted, found] = std::mismatch(Form.begin(), Form.end(), text.begin(), text.end(), isLike);
+    const bool endsWithStatus = wanted + 1 == Form.end() && found != text.end() && (*found == '\r' || *found == '\n');
+    return wanted == Form.end() || endsWithStatus;
+}
+
 /** Whether an answer says itself where it ends. */
 bool isFramed(const http_parser &parser)
 {
@@ -90,10 +102,12 @@
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
     std::size_t execute(std::string_view bytes);
+    void keepFirstLine(std::string_view bytes);
 
     Kind kind_;
     http_parser parser_{};
     const OnBody *onBody_ = nullptr;
+    std::string firstLine_; ///< The begin of an answer's first line.
     bool isInValue_ = true; ///< The next bytes of a name begin a new field.
 };
 
@@ -164,6 +178,9 @@
     if (std::any_of(fields.begin(), fields.end(), &hasBlankInName)) {
         return Broken;
     }
+    if (self.kind_ == Kind::Answer && !(isStatus(self.head_.status) && beginsWithStatusLine(self.firstLine_))) {
+        return Broken;
+    }
     if (self.kind_ == Kind::Request) {
         self.head_.method = http_method_str(static_cast<http_method>(parser->method));
         toOriginForm(self.head_);
@@ -198,6 +215,7 @@
     if (hasHead_) {
         return execute(bytes);
     }
+    keepFirstLine(bytes);
     // The parser is paused on the last byte of the head, and takes that byte when it goes on.
     const std::size_t taken = execute(bytes);
     headBytes_ += taken;
@@ -209,6 +227,15 @@
     return taken + execute(bytes.substr(taken));
 }
 
+void MessageParser::Impl::keepFirstLine(std::string_view bytes)
+{
+    constexpr std::size_t StatusLength = 13; // "HTTP/1.1 200 "
+    if (firstLine_.empty()) {
+        bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size())); // The library skips empty lines.
+    }
+    firstLine_.append(bytes.substr(0, StatusLength - std::min(firstLine_.size(), StatusLength)));
+}
+
 std::size_t MessageParser::Impl::execute(std::string_view bytes)
 {
     const std::size_t taken = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
@@ -240,6 +267,7 @@
     isComplete_ = false;
     isBroken_ = false;
     headBytes_ = 0;
+    firstLine_.clear();
     isInValue_ = true;
 }
 
--- a/libs/http/tests/messageparsertest.cpp
+++ b/libs/http/tests/messageparsertest.cpp
@@ -135,6 +135,40 @@
     BOOST_TEST(answer.isComplete());
 }
 
+// Guards against bytes that are passed on as an answer although their status is none.
+BOOST_AUTO_TEST_CASE(answer_statusIsNone_isBroken)
+{
+    for (const char *status : {"000", "001", "099", "600", "999", "0200", "20", "2000", "2", "-20", "2x0", "x", ""}) {
+        for (const std::string begin : {"HTTP/1.1 ", "\r\n\r\nHTTP/1.1 "}) {
+            const std::string bytes = begin + status + " X\r\nContent-Length: 2\r\n\r\nok";
+            MessageParser whole{MessageParser::Kind::Answer};
+            feed(whole, bytes);
+            BOOST_TEST(whole.isBroken(), status);
+            MessageParser inPieces{MessageParser::Kind::Answer};
+            for (const char byte : bytes) {
+                feed(inPieces, {&byte, 1});
+            }
+            BOOST_TEST(inPieces.isBroken(), status);
+        }
+    }
+}
+
+// Guards against breaking off sound answers because of the form of their first line.
+BOOST_AUTO_TEST_CASE(answer_statusLineInAnyForm_isRead)
+{
+    for (const char *line : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 \r\n", "HTTP/1.1 200\r\n", "HTTP/1.0 200 OK\r\n", "\r\nHTTP/1.1 200 OK\r\n"}) {
+        for (const bool isInPieces : {false, true}) {
+            const std::string bytes = std::string(line) + "Content-Length: 2\r\n\r\nok";
+            MessageParser parser{MessageParser::Kind::Answer};
+            for (std::size_t at = 0; at < bytes.size(); at += isInPieces ? 1 : bytes.size()) {
+                feed(parser, std::string_view(bytes).substr(at, isInPieces ? 1 : bytes.size()));
+            }
+            BOOST_TEST(parser.isComplete(), line);
+            BOOST_TEST(parser.head().status == 200, line);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(answer_cutInItsBody_isNotWhole)
 {
     feed(answer, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
