http: a client's call fails if the answer's status is none of a final answer

Callers of HttpClient got 1, 99, 101, 103, 199, 600, 999, 2000, 20, -20 and 2x0 as answers, and where headers are awaited first, a body without them. Change: a call ends in ProtocolError, which may have run, unless the status is from 200 to 599; no piece of such an answer is handed on. Open: evhttp reads "0200" as 200, and shows the line to nobody.

--- a/libs/http/src/httpclient.cpp
+++ b/libs/http/src/httpclient.cpp
@@ -3,6 +3,7 @@
 #include "headers.h"
 #include "http/eventhandles.h"
 #include "http/socketaddress.h"
+#include "http/statuscode.h"
 
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -468,6 +469,10 @@
         }
         return;
     }
+    if (!isFinalStatus(call->response.status)) {
+        failCall(*call, ErrorCode::ProtocolError, "the answer's status is none of a final answer: " + std::to_string(call->response.status));
+        return;
+    }
     if (!isFramed(call->method, call->response.status, call->response.headers)) {
         failCall(*call, ErrorCode::ProtocolError, "the answer has no length, so it can't be told whether it is whole");
         return;
@@ -543,8 +548,7 @@
     }
     call->response.status = evhttp_request_get_response_code(request);
     call->response.headers = readHeaders(evhttp_request_get_input_headers(request));
-    const bool isInterim = call->response.status < HTTP_OK;
-    if (isInterim || !call->callbacks.onHeaders) {
+    if (!isFinalStatus(call->response.status) || !call->callbacks.onHeaders) {
         return 0;
     }
     const EvhttpScope scope(answeredOn->client->evhttpDepth_);
@@ -571,7 +575,7 @@
         call->response.body.append(piece);
         return;
     }
-    if (call->callbacks.onData) {
+    if (call->callbacks.onData && isFinalStatus(call->response.status)) {
         const EvhttpScope scope(answeredOn->client->evhttpDepth_);
         const std::shared_ptr<Call> keptWhileCalled = call->shared_from_this();
         call->callbacks.onData(piece);
--- a/libs/http/tests/httpclientfaulttest.cpp
+++ b/libs/http/tests/httpclientfaulttest.cpp
@@ -108,6 +108,36 @@
     }
 }
 
+// Guards against a caller that gets bytes as an answer whose status is none, or is that of an interim answer.
+BOOST_AUTO_TEST_CASE(answer_statusIsNone_isAFailure)
+{
+    for (const char *status : {"000", "001", "099", "101", "103", "199", "600", "999", "2000", "20", "-20", "2x0", "x", ""}) {
+        for (const RawPeer::Then end : {RawPeer::Then::KeepOpen, RawPeer::Then::Close}) {
+            const std::string bytes = "HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 2\r\n\r\nok";
+            script([&](int /*number*/) { return RawPeer::Answer{.bytes = bytes, .then = end}; });
+            const auto answer = call({.path = "/", .timeout = Duration{300}});
+            BOOST_TEST(!answer.has_value(), "status '" << status << "'");
+            BOOST_TEST((answer || answer.error().verdict == Verdict::MayHaveRun), "status '" << status << "'");
+            BOOST_TEST(!readStream({.path = "/", .timeout = Duration{300}}).has_value(), "status '" << status << "'");
+        }
+    }
+}
+
+// Guards against an answer that ends inside its head, and is taken for a whole one without a body.
+BOOST_AUTO_TEST_CASE(answer_headIsCutAnywhere_isAFailure)
+{
+    for (const std::string head : {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: b\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+        for (std::size_t length = 0; length < head.size(); ++length) {
+            for (const RawPeer::Then end : {RawPeer::Then::Close, RawPeer::Then::Reset}) {
+                script([&](int /*number*/) { return RawPeer::Answer{.bytes = head.substr(0, length), .then = end}; });
+                const auto answer = call({.path = "/"});
+                BOOST_TEST(!answer.has_value(), "cut after " << length << " bytes of " << head);
+                BOOST_TEST(!readStream({.path = "/"}).has_value(), "cut after " << length << " bytes of " << head);
+            }
+        }
+    }
+}
+
 // Symptom: a caller gets the answer to somebody else's request. Sequence: a call times out, its connection goes back to
 // the pool, and the late answer arrives there after the next request was sent. Cause: an abandoned connection reused.
 BOOST_AUTO_TEST_CASE(lateAnswer_afterATimeout_reachesNobody)
