http: a request whose end can't be told for sure is rejected, in one place

Cause: the parser library ends some requests with their head whatever length they state, and nobody compared. The differential test found more of the kind: a carriage return with any byte behind it ends the head, a chunk's line or the trailers for the library; any letters do for the name HTTP; a coding with a tab behind it isn't seen, so that the body counted as none. By reading only: any two bytes end a chunk's data. Change: framingOf() decides from the head alone (none, length, chunks, malformed, unsupported), and MessageParser goes on only if the library reads the body as decided. 501 for CONNECT and for other codings than chunks (a body in "gzip, chunked" was passed on without its coding being named), 400 for several lengths, length beside chunks, chunks in HTTP/1.0, bare carriage returns, spoilt first lines; nothing behind such a request is read, its connection is closed. What asks for another protocol is read as before. Ruled out: a list of methods (the `upgrade` flag of the library is only one of the ways). Left: header values folded over lines are unfolded and passed on; a line feed alone ends a line (both allowed by RFC 9112, 2.2 and 5.2).

--- a/libs/forward/src/callersession.cpp
+++ b/libs/forward/src/callersession.cpp
@@ -202,7 +202,8 @@
         return false;
     }
     if (parser_.isBroken()) {
-        rejectAndClose(StatusBadRequest, "the bytes are no request");
+        parser_.isUnsupported() ? rejectAndClose(StatusNotImplemented, "the end of the request can't be told")
+                                : rejectAndClose(StatusBadRequest, "the bytes are no request");
         return false;
     }
     if (parser_.hasHead() && !isHeadChecked_ && !checkHead()) {
--- a/libs/forward/src/statuscodes.h
+++ b/libs/forward/src/statuscodes.h
@@ -15,6 +15,7 @@
 constexpr int StatusTooManyRequests = 429;
 constexpr int StatusHeadersTooLarge = 431;
 constexpr int FirstServerError = 500;
+constexpr int StatusNotImplemented = 501;
 constexpr int StatusBadGateway = 502;
 constexpr int StatusUnavailable = 503;
 constexpr int StatusTimeout = 504;
--- a/libs/forward/tests/callersessiontest.cpp
+++ b/libs/forward/tests/callersessiontest.cpp
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <functional>
+#include <initializer_list>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace magnolia::forward
 {
@@ -179,6 +181,50 @@
     BOOST_TEST(runUntil([&] { return hasStopped; }));
 }
 
+// Guards against running the body of a request as a request of its own, because two readers of its head disagree on its end.
+BOOST_AUTO_TEST_CASE(request_endCannotBeTold_isRejectedAndNothingBehindItIsRead)
+{
+    addEndpoint([](int) { return RawPeer::Answer{.bytes = wholeAnswer(200, "r1", "body")}; });
+    const std::string inner = request("at-most-once", "POST", "Content-Length: 0\r\n");
+    const std::string length = "Content-Length: " + std::to_string(inner.size()) + "\r\n";
+    const std::string begin = "POST /at-most-once/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r2\r\n";
+    for (const auto &[status, head] : std::initializer_list<std::pair<std::string, std::string>>{
+             {"501", "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n" + length + "\r\n"},
+             {"501", "CONNECT /at-most-once/x HTTP/1.1\r\nHost: h\r\n" + length + "\r\n"},
+             {"501", begin + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"},
+             {"501", begin + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+             {"400", begin + "Transfer-Encoding: chunked\r\n" + length + "\r\n0\r\n\r\n"},
+             {"400", "POST /at-most-once/x HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+             {"400", begin + "Content-Length: 5\r\n" + length + "\r\nhello"},
+             {"400", begin + "\rX"},
+             {"400", begin + "Transfer-Encoding: chunked\r\n\r\n0\r\n\rX"},
+         }) {
+        RawCaller &caller = addCaller(head + inner);
+        BOOST_TEST(runUntil([&] { return caller.isClosed(); }), head);
+        BOOST_TEST(caller.received().starts_with("HTTP/1.1 " + status + " "), head << caller.received());
+        BOOST_TEST(countOf(caller.received(), "HTTP/1.1 ") == 1U, head << caller.received());
+        BOOST_TEST(attemptCount() == 0, head);
+    }
+}
+
+// Guards against a sound request that is rejected by the checks of its framing.
+BOOST_AUTO_TEST_CASE(request_asksForAnotherProtocol_isServedAndTheNextOneToo)
+{
+    addEndpoint([](int) { return RawPeer::Answer{.bytes = wholeAnswer(200, "r1", "body")}; });
+    for (const std::string upgrade : {"Connection: Upgrade\r\nUpgrade: websocket\r\n", "Connection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 2\r\n"}) {
+        const std::string body = upgrade.find("Length") == std::string::npos ? "" : "ok";
+        RawCaller &caller = addCaller(request("repeatable", "POST", upgrade) + body + request("repeatable"));
+        BOOST_TEST(runUntil([&] { return countOf(caller.received(), "HTTP/1.1 200") == 2; }), upgrade << caller.received());
+    }
+}
+
+// Guards against a host that isn't recognised because of blanks behind it.
+BOOST_AUTO_TEST_CASE(request_blanksBehindItsHost_isServed)
+{
+    addEndpoint([](int) { return RawPeer::Answer{.bytes = wholeAnswer(200, "r1", "body")}; });
+    BOOST_TEST(answerTo("GET /repeatable/x HTTP/1.1\r\nHost: h \t\r\nX-Request-Id: r1\r\n\r\n", "body").starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnolia::forward
--- a/libs/http/include/http/messageparser.h
+++ b/libs/http/include/http/messageparser.h
@@ -64,6 +64,7 @@
     bool hasHead() const;
     bool isComplete() const;
     bool isBroken() const; ///< The bytes are no message; nothing more is taken.
+    bool isUnsupported() const; ///< The bytes are broken since the framing of the request, which may be well formed, is none that is read here.
     std::size_t headBytes() const; ///< Taken so far for the head, without the body and its framing.
     MessageHead &head();
 
--- a/libs/http/src/messageparser.cpp
+++ b/libs/http/src/messageparser.cpp
@@ -1,11 +1,13 @@
 #include "http/messageparser.h"
 
 #include "http/statuscode.h"
+#include "requestframing.h"
 
 #include <http_parser.h>
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace magnolia::http
 {
@@ -54,14 +56,32 @@
     head.target = std::move(rest);
 }
 
-/** Whether the text begins with the status line of an answer (RFC 9112, 4): the library takes a status with any number of digits. */
-bool beginsWithStatusLine(std::string_view text)
+bool isLike(std::string_view form, std::string_view text)
 {
-    constexpr std::string_view Form = "HTTP/0.0 000 "; // 0 stands for any digit.
-    const auto isLike = [](char wanted, char character) { return wanted == '0' ? character >= '0' && character <= '9' : character == wanted; };
-    const auto [wanted, found] = std::mismatch(Form.begin(), Form.end(), text.begin(), text.end(), isLike);
-    const bool endsWithStatus = wanted + 1 == Form.end() && found != text.end() && (*found == '\r' || *found == '\n');
-    return wanted == Form.end() || endsWithStatus;
+    const auto isLikeOne = [](char wanted, char character) { return wanted == '0' ? character >= '0' && character <= '9' : character == wanted; };
+    return std::equal(form.begin(), form.end(), text.begin(), text.end(), isLikeOne);
+}
+
+/** Whether the line is the first one of an answer (RFC 9112, 4): the library takes a status with any number of digits. */
+bool isStatusLine(std::string_view line)
+{
+    constexpr std::string_view Form = "HTTP/1.0 000"; // 0 stands for any digit.
+    return isLike(Form, line.substr(0, Form.size())) && (line.size() == Form.size() || line[Form.size()] == Blank);
+}
+
+/** Whether the line ends with the version of HTTP (RFC 9112, 3): the library takes any letters for its name. */
+bool isRequestLine(std::string_view line)
+{
+    constexpr std::string_view Form = " HTTP/1.0"; // 0 stands for any digit.
+    return line.size() > Form.size() && isLike(Form, line.substr(line.size() - Form.size()));
+}
+
+/** Whether the library reads the body of a request as decided here. */
+bool isReadAs(RequestFraming framing, const http_parser &parser)
+{
+    const bool hasChunks = (parser.flags & F_CHUNKED) != 0;
+    const bool hasLength = (parser.flags & F_CONTENTLENGTH) != 0;
+    return hasChunks == (framing == RequestFraming::Chunks) && hasLength == (framing == RequestFraming::Length);
 }
 
 /** Whether an answer says itself where it ends. */
@@ -92,6 +112,7 @@
     bool hasHead_ = false;
     bool isComplete_ = false;
     bool isBroken_ = false;
+    bool isUnsupported_ = false;
     std::size_t headBytes_ = 0;
 
 private:
@@ -108,12 +129,19 @@
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
     std::size_t execute(std::string_view bytes);
+    std::size_t executeBody(std::string_view bytes);
     void keepFirstLine(std::string_view bytes);
+    bool hasBareCarriageReturn(std::string_view framing);
+    bool isFramingSpoilt(std::string_view bytes);
 
     Kind kind_;
     http_parser parser_{};
     const OnBody *onBody_ = nullptr;
-    std::string firstLine_; ///< The begin of an answer's first line.
+    std::string firstLine_; ///< As far as it was received.
+    bool hasFirstLine_ = false; ///< It was received to its end.
+    bool endsWithCarriageReturn_ = false; ///< The last byte of the head or of the body's framing is one.
+    bool isBehindData_ = false; ///< The last byte was one of the body's data.
+    std::vector<std::string_view> data_; ///< The pieces of the body's data among the bytes that are read.
     bool isInValue_ = true; ///< The next bytes of a name begin a new field.
 };
 
@@ -185,11 +213,18 @@
     if (std::any_of(fields.begin(), fields.end(), &hasBlankInName)) {
         return Broken;
     }
-    if (self.kind_ == Kind::Answer && !(isStatus(self.head_.status) && beginsWithStatusLine(self.firstLine_))) {
+    const bool isFirstLineSound = self.kind_ == Kind::Answer ? isStatus(self.head_.status) && isStatusLine(self.firstLine_) : isRequestLine(self.firstLine_);
+    if (!isFirstLineSound) {
         return Broken;
     }
     if (self.kind_ == Kind::Request) {
         self.head_.method = http_method_str(static_cast<http_method>(parser->method));
+        const bool isHttp10 = parser->http_major == 1 && parser->http_minor == 0;
+        const RequestFraming framing = framingOf(self.head_, isHttp10);
+        self.isUnsupported_ = framing == RequestFraming::Unsupported;
+        if (self.isUnsupported_ || framing == RequestFraming::Malformed || !isReadAs(framing, *parser)) {
+            return Broken;
+        }
         toOriginForm(self.head_);
     } else {
         self.head_.endsWithConnection = !self.expectsNoBody_ && !isFramed(*parser);
@@ -201,6 +236,7 @@
 
 int MessageParser::Impl::onBody(http_parser *parser, const char *at, std::size_t length)
 {
+    of(parser).data_.emplace_back(at, length);
     (*of(parser).onBody_)({at, length});
     return 0;
 }
@@ -220,27 +256,77 @@
     hasBegun_ = true;
     onBody_ = &onBody;
     if (hasHead_) {
-        return execute(bytes);
+        return executeBody(bytes);
     }
     keepFirstLine(bytes);
     // The parser is paused on the last byte of the head, and takes that byte when it goes on.
     const std::size_t taken = execute(bytes);
+    isBroken_ = isBroken_ || hasBareCarriageReturn(bytes.substr(0, hasHead_ ? taken + 1 : taken));
     headBytes_ += taken;
     if (isBroken_ || !hasHead_) {
         return taken;
     }
     ++headBytes_;
     http_parser_pause(&parser_, 0);
-    return taken + execute(bytes.substr(taken));
+    return taken + executeBody(bytes.substr(taken));
+}
+
+std::size_t MessageParser::Impl::executeBody(std::string_view bytes)
+{
+    data_.clear();
+    const std::size_t taken = execute(bytes);
+    if (isFramingSpoilt(bytes.substr(0, taken))) {
+        isBroken_ = true;
+        isComplete_ = false;
+    }
+    return taken;
+}
+
+/** Checks what is not data in the bytes. The library takes any two bytes behind a chunk for the end of its line. */
+bool MessageParser::Impl::isFramingSpoilt(std::string_view bytes)
+{
+    const char *at = bytes.data();
+    const auto isSpoiltUntil = [&](const char *end) {
+        const std::string_view framing(at, static_cast<std::size_t>(end - at));
+        const bool isLineEndMissing = isBehindData_ && !framing.empty() && framing.front() != '\r';
+        isBehindData_ = isBehindData_ && framing.empty();
+        return hasBareCarriageReturn(framing) || isLineEndMissing;
+    };
+    for (const std::string_view piece : data_) {
+        if (isSpoiltUntil(piece.data())) {
+            return true;
+        }
+        at = piece.data() + piece.size();
+        isBehindData_ = true;
+    }
+    return isSpoiltUntil(bytes.data() + bytes.size());
+}
+
+/** Looks for a carriage return without a line feed (RFC 9112, 2.2): the library takes it, and any byte behind it, for the end of a line. */
+bool MessageParser::Impl::hasBareCarriageReturn(std::string_view framing)
+{
+    for (const char byte : framing) {
+        if (std::exchange(endsWithCarriageReturn_, byte == '\r') && byte != '\n') {
+            return true;
+        }
+    }
+    return false;
 }
 
 void MessageParser::Impl::keepFirstLine(std::string_view bytes)
 {
-    constexpr std::size_t StatusLength = 13; // "HTTP/1.1 200 "
+    if (hasFirstLine_) {
+        return;
+    }
     if (firstLine_.empty()) {
         bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size())); // The library skips empty lines.
     }
-    firstLine_.append(bytes.substr(0, StatusLength - std::min(firstLine_.size(), StatusLength)));
+    const std::size_t end = bytes.find('\n');
+    firstLine_.append(bytes.substr(0, end));
+    hasFirstLine_ = end != std::string_view::npos;
+    if (hasFirstLine_ && firstLine_.ends_with('\r')) {
+        firstLine_.pop_back();
+    }
 }
 
 std::size_t MessageParser::Impl::execute(std::string_view bytes)
@@ -273,8 +359,12 @@
     hasHead_ = false;
     isComplete_ = false;
     isBroken_ = false;
+    isUnsupported_ = false;
     headBytes_ = 0;
     firstLine_.clear();
+    hasFirstLine_ = false;
+    endsWithCarriageReturn_ = false;
+    isBehindData_ = false;
     isInValue_ = true;
 }
 
@@ -317,6 +407,11 @@
     return impl_->isBroken_;
 }
 
+bool MessageParser::isUnsupported() const
+{
+    return impl_->isUnsupported_;
+}
+
 std::size_t MessageParser::headBytes() const
 {
     return impl_->headBytes_;
