--- a/libs/forward/tests/callersessiontest.cpp
+++ b/libs/forward/tests/callersessiontest.cpp
@@ -32,6 +32,12 @@
     return count;
 }
 
+std::string headOf(std::string_view firstLine, std::string_view fields)
+{
+    std::string head(firstLine);
+    return head.append("\r\nHost: h\r\n").append(fields).append("\r\n");
+}
+
 std::string repeated(const std::string &text, std::size_t times)
 {
     std::string all;
@@ -189,8 +195,8 @@
     const std::string length = "Content-Length: " + std::to_string(inner.size()) + "\r\n";
     const std::string begin = "POST /at-most-once/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r2\r\n";
     for (const auto &[status, head] : std::initializer_list<std::pair<std::string, std::string>>{
-             {"501", "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n" + length + "\r\n"},
-             {"501", "CONNECT /at-most-once/x HTTP/1.1\r\nHost: h\r\n" + length + "\r\n"},
+             {"501", headOf("CONNECT h:80 HTTP/1.1", length)},
+             {"501", headOf("CONNECT /at-most-once/x HTTP/1.1", length)},
              {"501", begin + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"},
              {"501", begin + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
              {"400", begin + "Transfer-Encoding: chunked\r\n" + length + "\r\n0\r\n\r\n"},
