--- a/libs/forward/tests/callersessiontest.cpp
+++ b/libs/forward/tests/callersessiontest.cpp
@@ -193,15 +193,18 @@
     addEndpoint([](int) { return RawPeer::Answer{.bytes = wholeAnswer(200, "r1", "body")}; });
     const std::string inner = request("at-most-once", "POST", "Content-Length: 0\r\n");
     const std::string length = "Content-Length: " + std::to_string(inner.size()) + "\r\n";
+    const std::string chunkedWithLength = "Transfer-Encoding: chunked\r\n" + length;
+    const std::string twoLengths = "Content-Length: 5\r\n" + length;
+    const std::string line = "POST /at-most-once/x HTTP/1.1";
     const std::string begin = "POST /at-most-once/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r2\r\n";
     for (const auto &[status, head] : std::initializer_list<std::pair<std::string, std::string>>{
              {"501", headOf("CONNECT h:80 HTTP/1.1", length)},
              {"501", headOf("CONNECT /at-most-once/x HTTP/1.1", length)},
              {"501", begin + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"},
              {"501", begin + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
-             {"400", begin + "Transfer-Encoding: chunked\r\n" + length + "\r\n0\r\n\r\n"},
+             {"400", headOf(line, chunkedWithLength) + "0\r\n\r\n"},
              {"400", "POST /at-most-once/x HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
-             {"400", begin + "Content-Length: 5\r\n" + length + "\r\nhello"},
+             {"400", headOf(line, twoLengths) + "hello"},
              {"400", begin + "\rX"},
              {"400", begin + "Transfer-Encoding: chunked\r\n\r\n0\r\n\rX"},
          }) {
